--- /dev/null
+++ b/lilacwalk/benchwire/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter between the controller and the bench's wire."""
--- /dev/null
+++ b/lilacwalk/benchwire/__main__.py
@@ -0,0 +1,25 @@
+"""Speaks the bench's wire on standard input and output."""
+
+import io
+import sys
+
+from lilacwalk.benchwire.codec import WireError
+from lilacwalk.benchwire.host import serve
+
+
+def main() -> int:
+    lines = io.TextIOWrapper(sys.stdin.buffer, encoding="utf-8", newline="\n")
+    replies = io.TextIOWrapper(sys.stdout.buffer, encoding="utf-8", newline="\n", write_through=False)
+    try:
+        serve(lines, replies)
+    except WireError as error:
+        print(f"lilacwalk: {error}", file=sys.stderr)
+        return 2
+    except UnicodeDecodeError as error:
+        print(f"lilacwalk: the input is not UTF-8: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/lilacwalk/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""What each app server admits, runs, denies and advises."""
--- /dev/null
+++ b/lilacwalk/decisions/controller.py
@@ -0,0 +1,549 @@
+"""All decisions of one app server. The types and the Writer protocol are in interface.py.
+
+Make one Controller(server, now) for each life of a server. Whenever something came in, call
+round(now, calls, out): `calls` lists (handler, *arguments) in the order of arrival, the handlers being the
+methods under "What comes in"; the first round holds begin. Decisions go straight into the writer `out`.
+Times are whole tenths of a millisecond. docs/design.md says what is the paper's and what is a departure.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from itertools import count
+from math import inf
+
+from lilacwalk.decisions.interface import (
+    Advice, AppServer, Customer, Effect, EndpointGroup, Ending, Exchange, Place, StopMode, Writer,
+)
+
+SECOND = 10_000
+TICK = SECOND // 2  # h of the design: about one answer time of a crowded server
+SWEEP = 250  # the one timer; 25 ms is far under any SLO time and costs little
+T_REF = 0.5  # under the design's 1, as an answer after the SLO time is worth little: the mean must leave room
+P_FLOOR = 0.05
+# At half-target T p_a climbs from floor to 1 in about five ticks when arrivals equal what the cores finish.
+KI = (1 - P_FLOOR) / 5 / (T_REF / 2) / (TICK / SECOND)
+KP = KI * TICK / SECOND  # equal weight to a change of T and to T itself: the usual start for a lagging plant
+MEMORY_LIMIT = 0.9  # of the memory; the rest is for what is read in one round before it can be denied
+LEARN = 0.1  # weight of the newest run or call in its running mean: about the last ten count
+MAKES_IT = 0.7  # share of the expected run time that must fit: run times scatter widely around their mean
+SILENCE = 9  # expected gaps without progress before work counts as standing still: e^-9 by chance
+OVER_SHARE = 1.2  # times its share before a customer counts as over it: routers spread unevenly
+
+
+class Controller:
+    def __init__(self, server: AppServer, now: int) -> None:
+        self.server = server
+        self.now = now
+        self.out: Writer = None  # type: ignore[assignment]  # set for the length of a round
+        self.chance = random.Random(server.seed)
+        self.began = now
+        self.margin = SWEEP + 2 * server.quantum  # the next look at the clock comes no later than this
+        self.due_times: list[tuple] = []
+        self.order = count()
+        # What the server has in hand.
+        self.held: list[Exchange] = []
+        self.at_calls: list[Exchange] = []  # waiting for the controller to make or skip the call
+        self.open: dict[Exchange, None] = {}  # unanswered or still using memory, in order of reading
+        self.on_cores = 0
+        self.calling = 0  # calls in hand, abandoned ones included while they linger
+        self.memory = 0.0
+        self.limit = float(server.cores)
+        # The PI loop.
+        self.p_a = 1.0
+        self.last_e = 0.0
+        self.arrivals = 0
+        self.rate = 0.0  # λ, exchanges a second
+        self.t_sum = self.t_count = self.slo_sum = 0.0
+        self.finished_in_tick = 0
+        self.next_tick = now + TICK
+        self.core_use, self.run_queue = 0.0, 0.0
+        # What was measured.
+        self.run_times: dict[EndpointGroup, float] = {}
+        self.mean_run = 0.0
+        self.best_run = inf
+        self.hint_ratio = 1.0
+        self.call_time = 0.0
+        self.last_progress = now
+        self.last_timer = now
+        self.customer_counts: dict[Customer, int] = {each: 0 for each in server.customers}
+        self.customer_rates: dict[Customer, float] = {each: 0.0 for each in server.customers}
+        self.caller_counts: dict[int, float] = {}
+        self.call_ready = now
+        self.stalled = False
+        self.level = 0.0
+        self.said = -1.0
+        self.grace_end = self.leave_by = 0  # 0: no notice to leave yet
+
+    def round(self, now: int, calls: list[tuple], out: Writer) -> None:
+        self.now, self.out = now, out
+        for handler, *arguments in calls:
+            handler(*arguments)
+        while self.due_times and self.due_times[0][0] <= now:
+            _, _, action, *arguments = heapq.heappop(self.due_times)
+            action(*arguments)
+        self._make_calls()
+        self._start_held()
+
+    def _at(self, time: int, *action) -> None:
+        heapq.heappush(self.due_times, (time, next(self.order), *action))
+
+    # What comes in
+
+    def begin(self) -> None:
+        self.out.health(True)
+        self.out.timer(SWEEP)
+        self._advise()
+
+    def arrive(self, ex: Exchange) -> None:
+        group = ex.group
+        self.arrivals += 1
+        self.caller_counts[ex.caller] = self.caller_counts.get(ex.caller, 0.0) + 1
+        if ex.customer:
+            self.customer_counts[ex.customer] += 1
+        self.open[ex] = None
+        self.memory += ex.hold_kb
+        ex.work = self._expected_run(ex)
+        ex.slo_due = min(ex.due, ex.arrived + group.slo_time + int(group.slo_stretch * ex.work))
+        ex.density = group.benefit / (1 if self.server.benefit_by_work else max(1, ex.work))
+        self._at(ex.due - self.margin, self._overdue, ex)
+        if ex.repeats and self._join(ex):
+            return
+        if self._refused_at_door(ex):
+            return
+        if group.late_benefit == 0:
+            self._at(ex.slo_due - self.margin, self._too_late, ex)
+        if group.effect is Effect.DEDUPLICATED:
+            self._keep(ex)
+        self.held.append(ex)
+
+    def gone(self, ex: Exchange) -> None:
+        """Its caller waits no longer: nothing is owed, and work that may be lost is stopped."""
+        if ex.place in (Place.HELD, Place.JOINED):
+            self._over(ex)
+        elif ex.place is not Place.OVER:
+            ex.answered = True
+            self._stop(ex)
+
+    def finished(self, ex: Exchange, ending: Ending) -> None:
+        if ex.place is Place.OVER:
+            return
+        if ex.ran and ending in (Ending.OK, Ending.ERROR):
+            self._progress()
+            if not ex.answered:
+                self._learn_run(ex, self.now - ex.started - ex.call_wait)
+                self._count_answer(ex)
+        elif ending is Ending.STOPPED and ex.place is Place.ON_CORES:
+            self._progress()
+        ex.answered = True
+        self._over(ex)
+
+    def at_call(self, ex: Exchange) -> None:
+        self._progress()
+        self.on_cores -= 1
+        ex.place = Place.AT_CALL
+        ex.call_since = self.now
+        self.at_calls.append(ex)
+
+    def called(self, ex: Exchange, ending: Ending, lag: int) -> None:
+        if ex.place is not Place.CALLING:
+            return
+        self._call_ended(ex, lag, lingers=ending is Ending.ABANDONED)
+        if ending in (Ending.OK, Ending.ABANDONED):
+            self.call_time += LEARN * (lag - self.call_time) if self.call_time else lag
+        if ending is Ending.OK:
+            self._resume(ex)
+            return
+        ex.place = Place.AT_CALL
+        self.at_calls.append(ex)
+        ex.called_unsure = ex.called_unsure or not ending.never_ran
+
+    def leave(self, stop: int) -> None:
+        """The notice to leave: steer callers away; what is still unanswered shortly before the stop is ended."""
+        self.grace_end = self.now + self.server.drain_grace
+        self.leave_by = max(self.now, stop - 2 * self.margin)
+        self._at(self.leave_by, self._end_all)
+        self.out.health(False)
+        self.out.log("leaving: new work is steered away")
+        self._advise()
+
+    def timer(self, core_use: float, run_queue: float, links: float) -> None:
+        self.out.timer(SWEEP)
+        gap = self.now - self.last_timer - SWEEP
+        self.last_timer = self.now
+        if gap > 2 * SWEEP:  # the whole process stood still, which is no sign of work that hangs
+            self.last_progress += gap
+        self.core_use, self.run_queue = core_use, run_queue
+        if self.held and run_queue < self.server.cores and self.on_cores >= self.limit and not self._cold():
+            ceiling = self.server.cores * max(1.0, self.server.tip_multiple / 2)
+            self.limit = min(ceiling, self.limit + 1)
+        elif run_queue > self.limit:
+            self.limit = max(self.server.cores, self.limit - 1)
+        self._watch_progress()
+        if self.now >= self.next_tick:
+            self.next_tick = max(self.next_tick + TICK, self.now + TICK // 2)
+            self._tick()
+            self._advise()
+
+    # The ordinary path: the draw, the PI loop, the start
+
+    def _tick(self) -> None:
+        self.rate = self.arrivals * SECOND / TICK
+        self.arrivals = 0
+        for customer, seen in self.customer_counts.items():
+            self.customer_rates[customer] += 0.3 * (seen * SECOND / TICK - self.customer_rates[customer])
+            self.customer_counts[customer] = 0
+        self.caller_counts = {caller: seen * 0.8 for caller, seen in self.caller_counts.items() if seen > 0.05}
+        if not self.finished_in_tick:
+            return
+        mean_t = self.t_sum / self.t_count
+        slo_time = self.slo_sum / self.finished_in_tick / SECOND  # A
+        e = T_REF - mean_t
+        # The plant gain is λ·A; the base gains are set for arrivals that just fill the cores.
+        base = self.server.cores * slo_time / (max(1, self.mean_run) / SECOND)
+        gain = base / (max(1.0, self.rate) * slo_time)
+        kp, ki, h = min(KP, KP * gain), min(KI, KI * gain), TICK / SECOND
+        p = self.p_a + (kp + ki * h / 2) * e - (kp - ki * h / 2) * self.last_e
+        if p < self.p_a and self.core_use < 0.85 and self.run_queue < self.server.cores:
+            p = self.p_a
+        self.p_a = min(1.0, max(P_FLOOR, p))
+        self.last_e = e
+        # The running mean spans about two ticks, so that a few very long exchanges do not saw p_a.
+        self.t_sum, self.t_count = self.t_sum / 2, self.t_count / 2
+        self.slo_sum, self.finished_in_tick = 0.0, 0
+
+    def _count_answer(self, ex: Exchange) -> None:
+        slo_time = max(1, ex.slo_due - ex.arrived)
+        self.t_sum += (self.now - ex.read - ex.call_wait) / slo_time
+        self.t_count += 1
+        self.slo_sum += slo_time
+        self.finished_in_tick += 1
+
+    def _refused_at_door(self, ex: Exchange) -> bool:
+        admitted = self.chance.random() < self.p_a  # drawn for every arrival
+        if ex.due - self.now <= self.margin or self.leave_by and ex.arrived > self.grace_end or self.stalled:
+            self._give_up(ex)
+        elif self.memory + self._key_kb(ex) > MEMORY_LIMIT * self.server.memory_kb:
+            self._give_up(ex)
+        elif not admitted or self._over_share(ex):
+            self._give_up(ex, not_elsewhere=self._fleet_short(ex))
+        elif not self._makes_it(ex, self._line_before(ex)):
+            self._give_up(ex, not_elsewhere=self._fleet_short(ex))
+        return ex.answered
+
+    def _start_held(self) -> None:
+        for ex in [ex for ex in self.held if not self._makes_it(ex, 0)]:
+            self._count_answer(ex)
+            self._give_up(ex, not_elsewhere=True)
+        if self.stalled:
+            return
+        free_kb = MEMORY_LIMIT * self.server.memory_kb
+        while self.held and self.on_cores < self.limit:
+            calls_full = len(self.at_calls) + self.calling >= 4 * self.limit
+            able = [ex for ex in self.held if not (calls_full and ex.group.calls) and not self._waits_for_first(ex)
+                    and self.memory + ex.hold_kb * (self.server.run_factor - 1) <= free_kb]
+            if not able:
+                return
+            self._start(max(able, key=lambda ex: ex.density))
+
+    def _start(self, ex: Exchange) -> None:
+        self.held.remove(ex)
+        if not self.on_cores:
+            self.last_progress = self.now
+        ex.place, ex.ran, ex.started = Place.ON_CORES, True, self.now
+        self.on_cores += 1
+        self.memory += ex.hold_kb * (self.server.run_factor - 1)
+        self.out.start(ex)
+        for follower in ex.followers:
+            if follower.place is Place.HELD:
+                self.held.remove(follower)
+                follower.place = Place.JOINED
+                self.out.join(follower)
+
+    # What can still make it
+
+    def _expected_run(self, ex: Exchange) -> int:
+        run = self.run_times.get(ex.group, self.mean_run)
+        if ex.work_hint and self.mean_run:
+            run = (run + ex.work_hint * self.hint_ratio) / 2  # hints are rough: half the weight
+        return int(run)
+
+    def _learn_run(self, ex: Exchange, run: int) -> None:
+        mean = self.run_times.get(ex.group)
+        self.run_times[ex.group] = run if mean is None else mean + LEARN * (run - mean)
+        self.mean_run += LEARN * (run - self.mean_run) if self.mean_run else run
+        self.best_run = min(self.best_run * 1.001, self.mean_run)
+        if ex.work_hint:
+            self.hint_ratio += LEARN * (min(10.0, run / ex.work_hint) - self.hint_ratio)
+
+    def _makes_it(self, ex: Exchange, wait: float) -> bool:
+        """Whether it can be answered while that still earns something, as run times go here now."""
+        group = ex.group
+        until = ex.slo_due if group.late_benefit == 0 else ex.due - self.margin
+        if self.leave_by:
+            until = min(until, self.leave_by)
+        if group.calls and not group.skip_benefit:
+            wait += self._call_wait()
+        return self.now + wait + MAKES_IT * ex.work <= until
+
+    def _line_before(self, ex: Exchange) -> float:
+        if self.on_cores < self.limit and not self.held:
+            return 0.0
+        ahead = sum(other.work for other in self.held if other.density >= ex.density)
+        return (ahead + self.mean_run) / self.limit
+
+    def _call_wait(self) -> float:
+        return self.call_time * (1 + len(self.at_calls) / self._call_cap())
+
+    def _over_share(self, ex: Exchange) -> bool:
+        """Beyond its share a customer brings little: it yields first, but only while something is short.
+
+        Rates are compared with the allowance and with the other customers: where all are over, the server
+        merely gets more than its part. Hurts where a router sends one customer to few servers.
+        """
+        if not ex.customer or self.server.over_share_benefit >= 0.5 or not self._short():
+            return False
+        parts = [self.customer_rates[each] / max(0.01, each.allowance / self.server.fleet)
+                 for each in self.server.customers]
+        part = self.customer_rates[ex.customer] / max(0.01, ex.customer.allowance / self.server.fleet)
+        fair = OVER_SHARE * max(1.0, min(parts))
+        return part > fair and self.chance.random() < 1 - fair / part
+
+    def _short(self) -> bool:
+        return self.p_a < 0.98 or len(self.held) > self.server.cores
+
+    def _fleet_short(self, ex: Exchange) -> bool:
+        """Whether another server would be as short: this one runs work as fast as ever, yet has too much."""
+        if self.stalled or self.leave_by or self._cold() or self.mean_run > 1.5 * self.best_run:
+            return False
+        return ex.retry or self.p_a < 0.7
+
+    # Giving up: always answered at once, with a time to come back
+
+    def _give_up(self, ex: Exchange, not_elsewhere: bool = False) -> None:
+        first = ex.repeats
+        if ex.group.effect is not Effect.REPEATABLE and (ex.ran or first and first.ran):
+            self.out.terminate(ex)
+        else:
+            self.out.deny(ex, self._come_back(), not_elsewhere)
+        ex.answered = True
+        if ex.place in (Place.HELD, Place.JOINED):
+            self._over(ex)
+        else:
+            self._stop(ex)
+
+    def _come_back(self) -> int:
+        longest = self.server.come_back_max
+        if self.stalled or self.leave_by:
+            return longest
+        return int(longest * (1 - self.p_a))
+
+    def _stop(self, ex: Exchange) -> None:
+        """Work that serves nobody is stopped, unless a repeat may still be answered from it."""
+        if ex.place is Place.ON_CORES and ex.group.effect is Effect.REPEATABLE:
+            if self.server.stop_mode is not StopMode.NONE:
+                self.out.stop(ex)
+
+    def _overdue(self, ex: Exchange) -> None:
+        if not ex.answered:
+            if ex.ran:
+                self.out.terminate(ex)
+                ex.answered = True
+                self._stop(ex)
+            else:
+                self._give_up(ex, not_elsewhere=True)
+
+    def _too_late(self, ex: Exchange) -> None:
+        """Past its SLO time it earns nothing. Work with an effect goes on: ended early it might come again."""
+        if not ex.answered and (ex.group.effect is Effect.REPEATABLE or not ex.ran):
+            if ex.ran:
+                self._learn_run(ex, self.now - ex.started - ex.call_wait)
+            self._count_answer(ex)
+            self._give_up(ex, not_elsewhere=True)
+
+    def _end_all(self) -> None:
+        for ex in list(self.open):
+            if not ex.answered:
+                self._give_up(ex)
+
+    def _over(self, ex: Exchange) -> None:
+        """It holds nothing any more. A repeat that waited for it and may still run takes its place."""
+        if ex.place is Place.HELD and ex in self.held:
+            self.held.remove(ex)
+        elif ex.place is Place.ON_CORES:
+            self.on_cores -= 1
+        elif ex.place is Place.AT_CALL:
+            self.at_calls.remove(ex)
+        elif ex.place is Place.CALLING:
+            self._call_ended(ex, self.now - ex.call_since, lingers=True)
+        self.memory -= ex.hold_kb * (self.server.run_factor if ex.ran else 1)
+        ex.place, ex.answered = Place.OVER, True
+        self.open.pop(ex, None)
+        if ex.ran:
+            return
+        heirs = [other for other in ex.followers if other.place is Place.HELD]
+        if heirs:
+            heirs[0].repeats, heirs[0].followers = None, heirs[1:]
+            for other in heirs[1:]:
+                other.repeats = heirs[0]
+            self._keep(heirs[0])
+        if ex.kept and not heirs:
+            ex.kept = False
+            self.memory -= self.server.key_kb
+            self.out.drop_key(ex)
+
+    # The table of keys
+
+    def _key_kb(self, ex: Exchange) -> float:
+        return self.server.key_kb if ex.group.effect is Effect.DEDUPLICATED else 0.0
+
+    def _keep(self, ex: Exchange) -> None:
+        """Kept while held already, so that a repeat is known whenever it comes in the window."""
+        time = ex.arrived + ex.group.window - self.now + self.server.quantum
+        if time > 0:
+            ex.kept = True
+            self.memory += self.server.key_kb
+            self.out.keep(ex, time)
+            self._at(self.now + time, self._key_expired, ex)
+
+    def _key_expired(self, ex: Exchange) -> None:
+        if ex.kept:
+            ex.kept = False
+            self.memory -= self.server.key_kb
+
+    def _join(self, ex: Exchange) -> bool:
+        """A repeat is answered from the first, or waits for it to start; it never runs beside it."""
+        first = ex.repeats
+        while first.repeats and not first.ran:
+            first = first.repeats
+        ex.repeats = first
+        if first.ran:
+            ex.place = Place.JOINED
+            self.out.join(ex)
+            return True
+        if first.place is Place.OVER:  # never ran: this one is the first now
+            ex.repeats = None
+            return False
+        first.followers.append(ex)
+        self.held.append(ex)
+        return True
+
+    def _waits_for_first(self, ex: Exchange) -> bool:
+        return ex.repeats is not None and ex.repeats.place is Place.HELD
+
+    # Calls to what lies below
+
+    def _call_cap(self) -> int:
+        share = self.server.call_share
+        return max(1, int(share)) if share else 4 * self.server.cores
+
+    def _make_calls(self) -> None:
+        for ex in list(self.at_calls):
+            if ex.answered:
+                continue
+            group = ex.group
+            again = not ex.called_unsure or group.effect is Effect.REPEATABLE
+            until = ex.slo_due if group.late_benefit == 0 else ex.due - self.margin
+            late = self.now + self.call_time + MAKES_IT / 2 * ex.work > until
+            if (late or not again) and group.skip_benefit > 0:
+                self.at_calls.remove(ex)
+                self._resume(ex)
+                self.out.skip_call(ex)
+            elif not again or late and group.effect is Effect.REPEATABLE:
+                self._count_answer(ex)
+                self._give_up(ex, not_elsewhere=True)
+        share, cores = self.server.call_share, self.server.cores
+        bound = cores * (1 + (self.server.tip_multiple - 1) * (self.server.cold_share if self._cold() else 1)) * 0.75
+        waiting = [ex for ex in self.at_calls if not ex.answered]
+        waiting.sort(key=lambda ex: -ex.group.benefit * (1 - ex.group.skip_benefit))
+        for ex in waiting:
+            if self.calling >= self._call_cap() or self.on_cores + self.calling >= max(cores + 1, bound):
+                return
+            if 0 < share < 1 and self.now < self.call_ready:
+                return
+            until = ex.due - self.margin
+            if ex.group.late_benefit == 0 and ex.group.effect is Effect.REPEATABLE:
+                until = min(until, ex.slo_due)
+            if 0 < share < 1:
+                until = min(until, self.now + int(share * self.server.call_span / 2))
+            self.at_calls.remove(ex)
+            ex.place = Place.CALLING
+            self.calling += 1
+            self.out.call(ex, max(until, self.now + 1))
+
+    def _call_ended(self, ex: Exchange, lag: int, lingers: bool) -> None:
+        if lingers:
+            self._at(self.now + self.server.linger, self._call_left)
+        else:
+            self.calling -= 1
+        if 0 < self.server.call_share < 1:  # one call at a time, then a rest, keeps the mean under the share
+            held = lag + (self.server.linger if lingers else 0)
+            self.call_ready = self.now + int(held / self.server.call_share)
+
+    def _call_left(self) -> None:
+        self.calling -= 1
+
+    def _resume(self, ex: Exchange) -> None:
+        ex.place = Place.ON_CORES
+        ex.call_wait += self.now - ex.call_since
+        ex.called_unsure = False
+        if not self.on_cores:
+            self.last_progress = self.now
+        self.on_cores += 1
+
+    # Health and advice
+
+    def _cold(self) -> bool:
+        return self.server.just_started and self.now < self.began + self.server.warm_up
+
+    def _progress(self) -> None:
+        self.last_progress = self.now
+        if self.stalled:
+            self.stalled = False
+            self.out.health(not self.leave_by)
+            self.out.log("work moves again")
+            self._advise()
+
+    def _watch_progress(self) -> None:
+        """Work that stands still while reading goes on, whatever the cause: what is in hand is worth more
+        elsewhere, so it is denied at once and callers are told to stay away until anything moves."""
+        if self.stalled or not self.on_cores:
+            return
+        gap = (self.mean_run or SECOND) / min(self.on_cores, self.server.cores)
+        if self.now - self.last_progress < SILENCE * gap + 4 * SWEEP:
+            return
+        self.stalled = True
+        self.out.health(False)
+        self.out.log("work stands still: all is denied until something moves")
+        self._advise()
+        for ex in list(self.open):
+            if not ex.answered and (ex.group.effect is Effect.REPEATABLE or not ex.ran):
+                self._give_up(ex)
+
+    def _advise(self) -> None:
+        server, advice = self.server, self.server.advice
+        away = self.stalled or bool(self.leave_by)
+        if advice is Advice.NONE:
+            return
+        if advice is Advice.TOKENS:
+            value = 0.0 if away else self._tokens()
+        elif advice is Advice.MIN_RANK:
+            self.level += 0.1 * (1 - self.p_a) if self.p_a < 0.95 else -0.03
+            self.level = min(0.67, max(0.0, self.level))
+            value = 1.0 if away else self.level
+        else:
+            value = 0.0 if away else self.p_a
+        value = round(value, 2)
+        if value != self.said:
+            self.said = value
+            self.out.advise(value)
+
+    def _tokens(self) -> float:
+        """What runs and what can wait half the target time, split as the heaviest caller's part asks."""
+        run = self.mean_run or SECOND
+        slo_time = sum(group.slo_time for group in self.server.groups) / len(self.server.groups)
+        in_hand = self.limit * (1 + T_REF * slo_time / run)
+        seen = sum(self.caller_counts.values())
+        part = max(self.caller_counts.values()) / seen if seen > 5 else 1 / self.server.callers
+        return max(0.2, in_hand * part)
