--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -26,7 +26,7 @@
 KI = (1 - P_FLOOR) / 5 / (T_REF / 2) / (TICK / SECOND)
 KP = KI * TICK / SECOND  # equal weight to a change of T and to T itself: the usual start for a lagging plant
 MEMORY_LIMIT = 0.9  # of the memory; the rest is for what is read in one round before it can be denied
-LEARN = 0.1  # weight of the newest run or call in its running mean: about the last ten count
+LEARN = 0.05  # weight of the newest run or call in its running mean: about the last twenty count
 MAKES_IT = 0.7  # share of the expected run time that must fit: run times scatter widely around their mean
 SILENCE = 9  # expected gaps without progress before work counts as standing still: e^-9 by chance
 OVER_SHARE = 1.2  # times its share before a customer counts as over it: routers spread unevenly
@@ -61,8 +61,10 @@
         self.core_use, self.run_queue = 0.0, 0.0
         # What was measured.
         self.run_times: dict[EndpointGroup, float] = {}
-        self.mean_run = 0.0
+        # Until runs were seen: SLO times are set some way above run times.
+        self.mean_run = min(group.slo_time for group in server.groups) / 4
         self.best_run = inf
+        self.mean_slo = sum(group.slo_time for group in server.groups) / len(server.groups)  # of what finishes
         self.hint_ratio = 1.0
         self.call_time = 0.0
         self.last_progress = now
@@ -195,18 +197,25 @@
             self.customer_rates[customer] += 0.3 * (seen * SECOND / TICK - self.customer_rates[customer])
             self.customer_counts[customer] = 0
         self.caller_counts = {caller: seen * 0.8 for caller, seen in self.caller_counts.items() if seen > 0.05}
-        if not self.finished_in_tick:
+        idle = self.core_use < 0.85 and self.run_queue < self.server.cores and not self.held
+        if not self.finished_in_tick and not idle:
             return
-        mean_t = self.t_sum / self.t_count
-        slo_time = self.slo_sum / self.finished_in_tick / SECOND  # A
+        mean_t = self.t_sum / self.t_count if self.t_count else T_REF / 2
+        if self.finished_in_tick:
+            self.mean_slo = self.slo_sum / self.finished_in_tick
+        slo_time = self.mean_slo / SECOND  # A
+        if idle:
+            # Departure: with p_a near its floor too little finishes to bring T down again, and a server with
+            # free cores would go on denying for good. Free cores count as half the target, whatever T says.
+            mean_t = min(mean_t, T_REF / 2)
         e = T_REF - mean_t
         # The plant gain is λ·A; the base gains are set for arrivals that just fill the cores.
-        base = self.server.cores * slo_time / (max(1, self.mean_run) / SECOND)
+        base = self.server.cores * slo_time * SECOND / max(1, self.mean_run)
         gain = base / (max(1.0, self.rate) * slo_time)
         kp, ki, h = min(KP, KP * gain), min(KI, KI * gain), TICK / SECOND
         p = self.p_a + (kp + ki * h / 2) * e - (kp - ki * h / 2) * self.last_e
-        if p < self.p_a and self.core_use < 0.85 and self.run_queue < self.server.cores:
-            p = self.p_a
+        if idle:
+            p = max(p, self.p_a)
         self.p_a = min(1.0, max(P_FLOOR, p))
         self.last_e = e
         # The running mean spans about two ticks, so that a few very long exchanges do not saw p_a.
@@ -265,14 +274,15 @@
 
     def _expected_run(self, ex: Exchange) -> int:
         run = self.run_times.get(ex.group, self.mean_run)
-        if ex.work_hint and self.mean_run:
+        if ex.work_hint:
             run = (run + ex.work_hint * self.hint_ratio) / 2  # hints are rough: half the weight
         return int(run)
 
     def _learn_run(self, ex: Exchange, run: int) -> None:
         mean = self.run_times.get(ex.group)
-        self.run_times[ex.group] = run if mean is None else mean + LEARN * (run - mean)
-        self.mean_run += LEARN * (run - self.mean_run) if self.mean_run else run
+        mean = self.mean_run if mean is None else mean
+        self.run_times[ex.group] = mean + LEARN * (run - mean)
+        self.mean_run += LEARN * (run - self.mean_run)
         self.best_run = min(self.best_run * 1.001, self.mean_run)
         if ex.work_hint:
             self.hint_ratio += LEARN * (min(10.0, run / ex.work_hint) - self.hint_ratio)
@@ -510,7 +520,7 @@
         elsewhere, so it is denied at once and callers are told to stay away until anything moves."""
         if self.stalled or not self.on_cores:
             return
-        gap = (self.mean_run or SECOND) / min(self.on_cores, self.server.cores)
+        gap = self.mean_run / min(self.on_cores, self.server.cores) / (self.server.cold_share if self._cold() else 1)
         if self.now - self.last_progress < SILENCE * gap + 4 * SWEEP:
             return
         self.stalled = True
@@ -541,7 +551,7 @@
 
     def _tokens(self) -> float:
         """What runs and what can wait half the target time, split as the heaviest caller's part asks."""
-        run = self.mean_run or SECOND
+        run = max(1.0, self.mean_run)
         slo_time = sum(group.slo_time for group in self.server.groups) / len(self.server.groups)
         in_hand = self.limit * (1 + T_REF * slo_time / run)
         seen = sum(self.caller_counts.values())
