--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -21,6 +21,7 @@
 TICK = SECOND // 2  # h of the design: about one answer time of a crowded server
 SWEEP = 250  # the one timer; 25 ms is far under any SLO time and costs little
 T_REF = 0.5  # under the design's 1, as an answer after the SLO time is worth little: the mean must leave room
+ADVICE_EVERY = 4 * SWEEP  # well within the time that callers remember what they were told
 P_FLOOR = 0.05
 # At half-target T p_a climbs from floor to 1 in about five ticks when arrivals equal what the cores finish.
 KI = (1 - P_FLOOR) / 5 / (T_REF / 2) / (TICK / SECOND)
@@ -58,6 +59,7 @@
         self.t_sum = self.t_count = self.slo_sum = 0.0
         self.finished_in_tick = 0
         self.next_tick = now + TICK
+        self.next_advice = now
         self.core_use, self.run_queue = 0.0, 0.0
         # What was measured.
         self.run_times: dict[EndpointGroup, float] = {}
@@ -67,6 +69,7 @@
         self.mean_slo = sum(group.slo_time for group in server.groups) / len(server.groups)  # of what finishes
         self.hint_ratio = 1.0
         self.call_time = 0.0
+        self.unread_wait = 0.0  # from reaching the machine until read
         self.last_progress = now
         self.last_timer = now
         self.customer_counts: dict[Customer, int] = {each: 0 for each in server.customers}
@@ -104,6 +107,7 @@
         self.caller_counts[ex.caller] = self.caller_counts.get(ex.caller, 0.0) + 1
         if ex.customer:
             self.customer_counts[ex.customer] += 1
+        self.unread_wait += 0.1 * (ex.read - ex.arrived - self.unread_wait)
         self.open[ex] = None
         self.memory += ex.hold_kb
         ex.work = self._expected_run(ex)
@@ -186,6 +190,8 @@
         if self.now >= self.next_tick:
             self.next_tick = max(self.next_tick + TICK, self.now + TICK // 2)
             self._tick()
+        if self.now >= self.next_advice:
+            self.next_advice = self.now + ADVICE_EVERY
             self._advise()
 
     # The ordinary path: the draw, the PI loop, the start
@@ -197,7 +203,7 @@
             self.customer_rates[customer] += 0.3 * (seen * SECOND / TICK - self.customer_rates[customer])
             self.customer_counts[customer] = 0
         self.caller_counts = {caller: seen * 0.8 for caller, seen in self.caller_counts.items() if seen > 0.05}
-        idle = self.core_use < 0.85 and self.run_queue < self.server.cores and not self.held
+        idle = self.core_use < 0.85 and self.run_queue < self.server.cores
         if not self.finished_in_tick and not idle:
             return
         mean_t = self.t_sum / self.t_count if self.t_count else T_REF / 2
@@ -539,8 +545,8 @@
         if advice is Advice.TOKENS:
             value = 0.0 if away else self._tokens()
         elif advice is Advice.MIN_RANK:
-            self.level += 0.1 * (1 - self.p_a) if self.p_a < 0.95 else -0.03
-            self.level = min(0.67, max(0.0, self.level))
+            wanted = (self._expected_t() - 0.8 * T_REF) / (1 - 0.8 * T_REF)
+            self.level += 0.3 * (min(1.0, max(0.0, wanted)) - self.level)
             value = 1.0 if away else self.level
         else:
             value = 0.0 if away else self.p_a
@@ -549,6 +555,11 @@
             self.said = value
             self.out.advise(value)
 
+    def _expected_t(self) -> float:
+        """T of what would be sent now: unread, in the line, running."""
+        line = sum(ex.work for ex in self.held) / self.limit
+        return (self.unread_wait + line + self.mean_run) / self.mean_slo
+
     def _tokens(self) -> float:
         """What runs and what can wait half the target time, split as the heaviest caller's part asks."""
         run = max(1.0, self.mean_run)
