--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -230,7 +230,7 @@
 
     def _count_answer(self, ex: Exchange) -> None:
         slo_time = max(1, ex.slo_due - ex.arrived)
-        self.t_sum += (self.now - ex.read - ex.call_wait) / slo_time
+        self.t_sum += (self.now - ex.arrived - ex.call_wait) / slo_time
         self.t_count += 1
         self.slo_sum += slo_time
         self.finished_in_tick += 1
