Calls in hand follow call times

Now call times twice their quiet level shrink the calls in hand down to one, and whoever cannot have its turn in time goes on without or is answered at once. Should hold as well for a dependency crowded by cold servers; hurts where call times scatter by themselves.

--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -28,6 +28,8 @@
 KP = KI * TICK / SECOND  # equal weight to a change of T and to T itself: the usual start for a lagging plant
 MEMORY_LIMIT = 0.9  # of the memory; the rest is for what is read in one round before it can be denied
 LEARN = 0.05  # weight of the newest run or call in its running mean: about the last twenty count
+CALL_LEARN = 0.2  # calls slow down within seconds: about the last five count
+CROWDED = 2  # times the quiet call time: beyond what scatter does to a mean of five
 MAKES_IT = 0.7  # share of the expected run time that must fit: run times scatter widely around their mean
 SILENCE = 9  # expected gaps without progress before work counts as standing still: e^-9 by chance
 OVER_SHARE = 1.2  # times its share before a customer counts as over it: routers spread unevenly
@@ -68,7 +70,8 @@
         self.best_run = inf
         self.mean_slo = sum(group.slo_time for group in server.groups) / len(server.groups)  # of what finishes
         self.hint_ratio = 1.0
-        self.call_time = 0.0
+        self.call_time = self.quiet_call_time = 0.0
+        self.call_limit = float(self._call_cap())
         self.unread_wait = 0.0  # from reaching the machine until read
         self.last_progress = now
         self.last_timer = now
@@ -157,7 +160,7 @@
             return
         self._call_ended(ex, lag, lingers=ending is Ending.ABANDONED)
         if ending in (Ending.OK, Ending.ABANDONED):
-            self.call_time += LEARN * (lag - self.call_time) if self.call_time else lag
+            self._learn_call(lag)
         if ending is Ending.OK:
             self._resume(ex)
             return
@@ -310,7 +313,9 @@
         return (ahead + self.mean_run) / self.limit
 
     def _call_wait(self) -> float:
-        return self.call_time * (1 + len(self.at_calls) / self._call_cap())
+        """Until all that cannot go on without a call has had one."""
+        needing = sum(1 for ex in self.open if ex.group.calls and not ex.group.skip_benefit and not ex.answered)
+        return self.call_time * (1 + needing / self.call_limit)
 
     def _over_share(self, ex: Exchange) -> bool:
         """Beyond its share a customer brings little: it yields first, but only while something is short.
@@ -454,27 +459,41 @@
         share = self.server.call_share
         return max(1, int(share)) if share else 4 * self.server.cores
 
+    def _learn_call(self, lag: int) -> None:
+        """Departure: T leaves call waits out, so a dependency that slows down, for whatever reason, would be
+        fed on. Call times well over their quiet level shrink the calls in hand; one is always left to probe."""
+        self.call_time += CALL_LEARN * (lag - self.call_time) if self.call_time else lag
+        self.quiet_call_time = min(self.call_time, self.quiet_call_time * 1.001 or self.call_time)
+        if self.call_time > CROWDED * self.quiet_call_time:
+            self.call_limit = max(1.0, self.call_limit * 0.8)
+        else:
+            self.call_limit = min(self._call_cap(), self.call_limit + 0.25)
+
     def _make_calls(self) -> None:
-        for ex in list(self.at_calls):
-            if ex.answered:
-                continue
+        waiting = [ex for ex in self.at_calls if not ex.answered]
+        waiting.sort(key=lambda ex: -ex.group.benefit * (1 - ex.group.skip_benefit))
+        for ex in list(waiting):
             group = ex.group
             again = not ex.called_unsure or group.effect is Effect.REPEATABLE
             until = ex.slo_due if group.late_benefit == 0 else ex.due - self.margin
-            late = self.now + self.call_time + MAKES_IT / 2 * ex.work > until
-            if (late or not again) and group.skip_benefit > 0:
+            turn = self.call_time * (1 + waiting.index(ex) / self.call_limit)
+            late = self.now + turn + MAKES_IT / 2 * ex.work > until
+            if not late and again:
+                continue
+            if group.skip_benefit > 0:
                 self.at_calls.remove(ex)
                 self._resume(ex)
                 self.out.skip_call(ex)
-            elif not again or late and group.effect is Effect.REPEATABLE:
+            elif not again or group.effect is Effect.REPEATABLE:
                 self._count_answer(ex)
                 self._give_up(ex, not_elsewhere=True)
+            else:
+                continue
+            waiting.remove(ex)
         share, cores = self.server.call_share, self.server.cores
         bound = cores * (1 + (self.server.tip_multiple - 1) * (self.server.cold_share if self._cold() else 1)) * 0.75
-        waiting = [ex for ex in self.at_calls if not ex.answered]
-        waiting.sort(key=lambda ex: -ex.group.benefit * (1 - ex.group.skip_benefit))
         for ex in waiting:
-            if self.calling >= self._call_cap() or self.on_cores + self.calling >= max(cores + 1, bound):
+            if self.calling >= int(self.call_limit) or self.on_cores + self.calling >= max(cores + 1, bound):
                 return
             if 0 < share < 1 and self.now < self.call_ready:
                 return
