--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -338,7 +338,7 @@
         """Whether another server would be as short: this one runs work as fast as ever, yet has too much."""
         if self.stalled or self.leave_by or self._cold() or self.mean_run > 1.5 * self.best_run:
             return False
-        return ex.retry or self.p_a < 0.7
+        return ex.retry or self.p_a < 0.9
 
     # Giving up: always answered at once, with a time to come back
 
