--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -580,10 +580,8 @@
         return (self.unread_wait + line + self.mean_run) / self.mean_slo
 
     def _tokens(self) -> float:
-        """What runs and what can wait half the target time, split as the heaviest caller's part asks."""
-        run = max(1.0, self.mean_run)
-        slo_time = sum(group.slo_time for group in self.server.groups) / len(self.server.groups)
-        in_hand = self.limit * (1 + T_REF * slo_time / run)
+        """What can be answered within the target time, split as the heaviest caller's part asks."""
+        in_hand = self.limit * max(1.0, T_REF * self.mean_slo / max(1.0, self.mean_run))
         seen = sum(self.caller_counts.values())
         part = max(self.caller_counts.values()) / seen if seen > 5 else 1 / self.server.callers
         return max(0.2, in_hand * part)
