--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -23,6 +23,8 @@
 T_REF = 0.5  # under the design's 1, as an answer after the SLO time is worth little: the mean must leave room
 ADVICE_EVERY = 4 * SWEEP  # well within the time that callers remember what they were told
 P_FLOOR = 0.05
+# What is on its way and unread counts as outstanding too, so tokens leave room for it; 0.5 to 0.8 score alike.
+TOKENS_PART = 0.65
 # At half-target T p_a climbs from floor to 1 in about five ticks when arrivals equal what the cores finish.
 KI = (1 - P_FLOOR) / 5 / (T_REF / 2) / (TICK / SECOND)
 KP = KI * TICK / SECOND  # equal weight to a change of T and to T itself: the usual start for a lagging plant
@@ -581,7 +583,8 @@
 
     def _tokens(self) -> float:
         """What can be answered within the target time, split as the heaviest caller's part asks."""
-        in_hand = self.limit * max(1.0, T_REF * self.mean_slo / max(1.0, self.mean_run))
+        in_hand = self.limit * max(0.6, 0.45 * T_REF * self.mean_slo / max(1.0, self.mean_run))
         seen = sum(self.caller_counts.values())
         part = max(self.caller_counts.values()) / seen if seen > 5 else 1 / self.server.callers
-        return max(0.2, in_hand * part)
+        unread = min(0.7, self.unread_wait / (T_REF * self.mean_slo))
+        return max(0.2, in_hand * part * (1 - unread))
