--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -566,7 +566,7 @@
         if advice is Advice.TOKENS:
             value = 0.0 if away else self._tokens()
         elif advice is Advice.MIN_RANK:
-            wanted = (self._expected_t() - 0.8 * T_REF) / (1 - 0.8 * T_REF)
+            wanted = (self._expected_t() - 0.3 * T_REF) / (1.0 * T_REF)
             self.level += 0.3 * (min(1.0, max(0.0, wanted)) - self.level)
             value = 1.0 if away else self.level
         else:
@@ -583,7 +583,7 @@
 
     def _tokens(self) -> float:
         """What can be answered within the target time, split as the heaviest caller's part asks."""
-        in_hand = self.limit * max(0.6, 0.45 * T_REF * self.mean_slo / max(1.0, self.mean_run))
+        in_hand = self.limit * TOKENS_PART * max(1.0, T_REF * self.mean_slo / max(1.0, self.mean_run))
         seen = sum(self.caller_counts.values())
         part = max(self.caller_counts.values()) / seen if seen > 5 else 1 / self.server.callers
         unread = min(0.7, self.unread_wait / (T_REF * self.mean_slo))
