--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -208,7 +208,7 @@
             self.customer_rates[customer] += 0.3 * (seen * SECOND / TICK - self.customer_rates[customer])
             self.customer_counts[customer] = 0
         self.caller_counts = {caller: seen * 0.8 for caller, seen in self.caller_counts.items() if seen > 0.05}
-        idle = self.core_use < 0.85 and self.run_queue < self.server.cores
+        idle = self._room()
         if not self.finished_in_tick and not idle:
             return
         mean_t = self.t_sum / self.t_count if self.t_count else T_REF / 2
@@ -333,6 +333,9 @@
         fair = OVER_SHARE * max(1.0, min(parts))
         return part > fair and self.chance.random() < 1 - fair / part
 
+    def _room(self) -> bool:
+        return self.core_use < 0.85 and self.run_queue < self.server.cores
+
     def _short(self) -> bool:
         return self.p_a < 0.98 or len(self.held) > self.server.cores
 
@@ -587,4 +590,5 @@
         seen = sum(self.caller_counts.values())
         part = max(self.caller_counts.values()) / seen if seen > 5 else 1 / self.server.callers
         unread = min(0.7, self.unread_wait / (T_REF * self.mean_slo))
-        return max(0.2, in_hand * part * (1 - unread))
+        calm = 2 if self._room() and not self.held else 1
+        return max(0.2, calm * in_hand * part * (1 - unread))
