--- a/lilacwalk/benchwire/codec.py
+++ b/lilacwalk/benchwire/codec.py
@@ -5,7 +5,14 @@
 import math
 
 from lilacwalk.decisions.interface import (
-    Advice, AppServer, Customer, Effect, EndpointGroup, Ending, Exchange, StopMode,
+    Advice,
+    AppServer,
+    Customer,
+    Effect,
+    Ending,
+    EndpointGroup,
+    Exchange,
+    StopMode,
 )
 
 EFFECTS = {"safe": Effect.REPEATABLE, "keyed": Effect.DEDUPLICATED, "unsafe": Effect.MUTATING}
@@ -109,7 +116,7 @@
         Customer(fields.get(f"parties.{i}.name", str(i)), number(fields, f"parties.{i}.allowance_per_s", 0.0))
         for i in range(whole(fields, "parties.count", 0))
     ]
-    come_back = early(number(fields, "limits.max_retry_after_ms", 0.0)) if flag(fields, "limits.retry_after") else 0
+    come_back = early(number(fields, "limits.max_retry_after_ms", 0.0))
     info = "family_info."
     return AppServer(
         seed=whole(fields, "nonce64", 0),
@@ -134,7 +141,7 @@
         warm_up=late(number(fields, "rules.warm_up_ms", 0.0)),
         tip_multiple=number(fields, "rules.tip_multiple", 2.0),
         drain_grace=early(number(fields, "rules.drain_grace_ms", 0.0)),
-        come_back_max=come_back,
+        come_back_max=come_back if flag(fields, "limits.retry_after") else 0,
         over_share_benefit=number(fields, "over_share_worth", 1.0),
         benefit_by_work=fields.get("value_by") == "work",
         quantum=late(number(fields, "quantum_ms", 1.0)),
--- a/lilacwalk/benchwire/host.py
+++ b/lilacwalk/benchwire/host.py
@@ -41,7 +41,8 @@
             return None
         ex = self.by_id.get(rid)
         if ex is None:  # over and forgotten here, yet the server still knows its result
-            group = next((g for g in self.server.groups if g.name == fields.get("class")), self.server.groups[0])
+            groups = self.server.groups
+            group = next((each for each in groups if each.name == fields.get("class")), groups[0])
             ex = Exchange(group, now, now, now, 0.0, place=Place.OVER, answered=True, ran=True)
             self.know(rid, ex)
         return ex
--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -14,7 +14,16 @@
 from math import inf
 
 from lilacwalk.decisions.interface import (
-    Advice, AppServer, Customer, Effect, EndpointGroup, Ending, Exchange, Place, StopMode, Writer,
+    Advice,
+    AppServer,
+    Customer,
+    Effect,
+    Ending,
+    EndpointGroup,
+    Exchange,
+    Place,
+    StopMode,
+    Writer,
 )
 
 SECOND = 10_000
@@ -23,7 +32,7 @@
 T_REF = 0.5  # under the design's 1, as an answer after the SLO time is worth little: the mean must leave room
 ADVICE_EVERY = 4 * SWEEP  # well within the time that callers remember what they were told
 P_FLOOR = 0.05
-# What is on its way and unread counts as outstanding too, so tokens leave room for it; 0.5 to 0.8 score alike.
+# Outstanding includes what is on its way and unread, so tokens leave room for it; 0.5 to 0.8 score alike.
 TOKENS_PART = 0.65
 # At half-target T p_a climbs from floor to 1 in about five ticks when arrivals equal what the cores finish.
 KI = (1 - P_FLOOR) / 5 / (T_REF / 2) / (TICK / SECOND)
@@ -70,7 +79,7 @@
         # Until runs were seen: SLO times are set some way above run times.
         self.mean_run = min(group.slo_time for group in server.groups) / 4
         self.best_run = inf
-        self.mean_slo = sum(group.slo_time for group in server.groups) / len(server.groups)  # of what finishes
+        self.mean_slo = sum(group.slo_time for group in server.groups) / len(server.groups)
         self.hint_ratio = 1.0
         self.call_time = self.quiet_call_time = 0.0
         self.call_limit = float(self._call_cap())
@@ -171,7 +180,7 @@
         ex.called_unsure = ex.called_unsure or not ending.never_ran
 
     def leave(self, stop: int) -> None:
-        """The notice to leave: steer callers away; what is still unanswered shortly before the stop is ended."""
+        """The notice to leave: steer callers away, and end shortly before the stop what is unanswered."""
         self.grace_end = self.now + self.server.drain_grace
         self.leave_by = max(self.now, stop - 2 * self.margin)
         self._at(self.leave_by, self._end_all)
@@ -207,7 +216,8 @@
         for customer, seen in self.customer_counts.items():
             self.customer_rates[customer] += 0.3 * (seen * SECOND / TICK - self.customer_rates[customer])
             self.customer_counts[customer] = 0
-        self.caller_counts = {caller: seen * 0.8 for caller, seen in self.caller_counts.items() if seen > 0.05}
+        counts = self.caller_counts.items()
+        self.caller_counts = {caller: seen * 0.8 for caller, seen in counts if seen > 0.05}
         idle = self._room()
         if not self.finished_in_tick and not idle:
             return
@@ -261,7 +271,8 @@
         free_kb = MEMORY_LIMIT * self.server.memory_kb
         while self.held and self.on_cores < self.limit:
             calls_full = len(self.at_calls) + self.calling >= 4 * self.limit
-            able = [ex for ex in self.held if not (calls_full and ex.group.calls) and not self._waits_for_first(ex)
+            able = [ex for ex in self.held
+                    if not (calls_full and ex.group.calls) and not self._waits_for_first(ex)
                     and self.memory + ex.hold_kb * (self.server.run_factor - 1) <= free_kb]
             if not able:
                 return
@@ -316,7 +327,8 @@
 
     def _call_wait(self) -> float:
         """Until all that cannot go on without a call has had one."""
-        needing = sum(1 for ex in self.open if ex.group.calls and not ex.group.skip_benefit and not ex.answered)
+        needing = sum(1 for ex in self.open
+                      if ex.group.calls and not ex.group.skip_benefit and not ex.answered)
         return self.call_time * (1 + needing / self.call_limit)
 
     def _over_share(self, ex: Exchange) -> bool:
@@ -381,7 +393,7 @@
                 self._give_up(ex, not_elsewhere=True)
 
     def _too_late(self, ex: Exchange) -> None:
-        """Past its SLO time it earns nothing. Work with an effect goes on: ended early it might come again."""
+        """Past its SLO time it earns nothing. Work with an effect goes on: ended early it may come again."""
         if not ex.answered and (ex.group.effect is Effect.REPEATABLE or not ex.ran):
             if ex.ran:
                 self._learn_run(ex, self.now - ex.started - ex.call_wait)
@@ -466,7 +478,7 @@
 
     def _learn_call(self, lag: int) -> None:
         """Departure: T leaves call waits out, so a dependency that slows down, for whatever reason, would be
-        fed on. Call times well over their quiet level shrink the calls in hand; one is always left to probe."""
+        fed on. Call times well over their quiet level shrink the calls in hand; one is left to probe."""
         self.call_time += CALL_LEARN * (lag - self.call_time) if self.call_time else lag
         self.quiet_call_time = min(self.call_time, self.quiet_call_time * 1.001 or self.call_time)
         if self.call_time > CROWDED * self.quiet_call_time:
@@ -496,7 +508,7 @@
                 continue
             waiting.remove(ex)
         share, cores = self.server.call_share, self.server.cores
-        bound = cores * (1 + (self.server.tip_multiple - 1) * (self.server.cold_share if self._cold() else 1)) * 0.75
+        bound = cores * (1 + (self.server.tip_multiple - 1) * self._least_speed()) * 0.75
         for ex in waiting:
             if self.calling >= int(self.call_limit) or self.on_cores + self.calling >= max(cores + 1, bound):
                 return
@@ -537,6 +549,9 @@
     def _cold(self) -> bool:
         return self.server.just_started and self.now < self.began + self.server.warm_up
 
+    def _least_speed(self) -> float:
+        return self.server.cold_share if self._cold() else 1.0
+
     def _progress(self) -> None:
         self.last_progress = self.now
         if self.stalled:
@@ -550,7 +565,7 @@
         elsewhere, so it is denied at once and callers are told to stay away until anything moves."""
         if self.stalled or not self.on_cores:
             return
-        gap = self.mean_run / min(self.on_cores, self.server.cores) / (self.server.cold_share if self._cold() else 1)
+        gap = self.mean_run / min(self.on_cores, self.server.cores) / self._least_speed()
         if self.now - self.last_progress < SILENCE * gap + 4 * SWEEP:
             return
         self.stalled = True
@@ -562,7 +577,7 @@
                 self._give_up(ex)
 
     def _advise(self) -> None:
-        server, advice = self.server, self.server.advice
+        advice = self.server.advice
         away = self.stalled or bool(self.leave_by)
         if advice is Advice.NONE:
             return
--- a/lilacwalk/decisions/interface.py
+++ b/lilacwalk/decisions/interface.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import Enum, auto
+from enum import auto, Enum
 from typing import Protocol
 
 
@@ -92,7 +92,7 @@
     advice: Advice = Advice.NONE
     said_for: int = 0
     has_dependency: bool = False
-    call_share: float = 0.0  # this server's part of the calls in hand the shared dependency survives; 0: untold
+    call_share: float = 0.0  # its part of the calls in hand that the dependency survives; 0: untold
     call_span: int = 0
     linger: int = 0
     just_started: bool = False
--- /dev/null
+++ b/tests/test_ordinary_path.py
@@ -0,0 +1,133 @@
+"""The draw, the PI loop and the start."""
+
+from lilacwalk.decisions.controller import P_FLOOR, TICK
+from lilacwalk.decisions.interface import Advice, Customer, StopMode
+
+
+def serve_slowly(host, ticks, run):
+    """Arrivals at a steady pace, each answered `run` later, with the cores full."""
+    running = []
+    for _ in range(ticks * TICK // 1000):
+        running.append((host.now, host.arrive()))
+        host.wait(1000)
+        while running and running[0][0] + run <= host.now:
+            ex = running.pop(0)[1]
+            if ex.ran and not ex.answered:
+                host.finish(ex)
+
+
+def test_a_calm_server_starts_all_at_once(host):
+    exes = [host.arrive(), host.arrive()]
+    assert host.whats("start") == exes
+    assert host.controller.p_a == 1
+
+
+def test_slow_answers_bring_p_a_down_and_denials_come_at_once(host):
+    serve_slowly(host, ticks=12, run=9_000)
+    assert host.controller.p_a < 0.9
+    held_for = [time - ex.read for ex, time in host.denied_at.items()]
+    assert held_for and held_for.count(0) >= 0.7 * len(held_for)
+
+
+def test_p_a_climbs_from_the_floor_while_cores_are_free_and_nothing_finishes(host):
+    host.controller.p_a = P_FLOOR
+    host.wait(12 * TICK, core_use=0.2, run_queue=0.0)
+    assert host.controller.p_a == 1
+
+
+def test_p_a_is_not_lowered_while_cores_have_room(host):
+    ex = host.arrive()
+    host.wait(9_000, core_use=0.3, run_queue=1.0)
+    host.finish(ex)
+    host.wait(TICK, core_use=0.3, run_queue=1.0)
+    assert host.controller.p_a == 1
+
+
+def test_a_tick_without_finishes_on_full_cores_changes_nothing(host):
+    host.controller.p_a = 0.5
+    host.arrive()
+    host.wait(TICK)
+    assert host.controller.p_a == 0.5
+
+
+def test_what_stood_unread_counts_in_t(host):
+    ex = host.arrive(arrived=host.now - 5_000)
+    host.finish(ex)
+    assert host.controller.t_sum >= 0.5
+
+
+def test_runs_on_the_cores_stop_at_the_limit_which_grows_only_with_free_cores(host):
+    exes = [host.arrive() for _ in range(5)]
+    assert len(host.whats("start")) == 2
+    host.wait(1_000)
+    assert len(host.whats("start")) == 2
+    host.wait(500, core_use=0.2, run_queue=0.0)
+    assert len(host.whats("start")) == 4  # half the told survivable crowd, two a core
+    assert len([ex for ex in exes if ex.answered]) == 0
+
+
+def test_a_cold_server_does_not_let_the_limit_grow(make_host):
+    host = make_host(just_started=True, warm_up=100_000, cold_share=0.3)
+    for _ in range(5):
+        host.arrive()
+    host.wait(2_000, core_use=0.2, run_queue=0.0)
+    assert len(host.whats("start")) == 2
+
+
+def test_what_cannot_make_it_is_denied_at_the_door(host):
+    host.controller.run_times = {host.server.groups[0]: 9_000}
+    host.controller.mean_run = 9_000
+    for _ in range(3):
+        host.arrive()
+    last = host.arrive()
+    assert host.answers(last) == ["deny"]
+
+
+def test_past_its_slo_time_it_is_answered_and_its_work_stopped(make_host):
+    host = make_host(stop_mode=StopMode.DROP)
+    ex = host.arrive()
+    host.wait(9_900)
+    assert host.answers(ex) == ["deny"] and host.whats("stop") == [ex]
+
+
+def test_a_customer_far_over_its_share_yields_first_when_short(make_host):
+    calm, loud = Customer("calm", 10.0), Customer("loud", 10.0)
+    host = make_host(customers=[calm, loud], over_share_benefit=0.1)
+    host.controller.customer_rates = {calm: 8.0, loud: 1000.0}
+    assert not host.answers(host.arrive(customer=loud))  # nothing is short
+    host.controller.p_a = 0.97
+    denied = [host.answers(host.arrive(customer=loud)) for _ in range(10)]
+    assert denied.count(["deny"]) >= 9
+    assert not host.answers(host.arrive(customer=calm))
+
+
+def test_unread_lines_lower_the_tokens(make_host):
+    host = make_host(advice=Advice.TOKENS)
+    host.wait(2_000)
+    before = host.whats("advise")[-1]
+    for _ in range(20):
+        host.arrive(arrived=host.now - 9_000)
+    host.wait(2_000)
+    assert host.whats("advise")[-1] < before
+
+
+def test_min_rank_rises_with_the_wait_and_tokens_close_at_a_drain(make_host):
+    host = make_host(advice=Advice.MIN_RANK)
+    for _ in range(20):
+        host.arrive(arrived=host.now - 9_000)
+    host.wait(4_000)
+    assert host.whats("advise")[-1] > 0.5
+    tokens = make_host(advice=Advice.TOKENS)
+    tokens.round((tokens.controller.leave, tokens.now + 50_000))
+    assert tokens.whats("advise")[-1] == 0 and tokens.whats("health")[-1] is False
+
+
+def test_the_same_seed_and_calls_give_the_same_decisions(make_host):
+    acts = []
+    for _ in range(2):
+        host = make_host()
+        host.controller.p_a = 0.5
+        for _ in range(40):
+            host.arrive()
+        acts.append([act[0] for act in host.did])
+    assert acts[0] == acts[1] and "deny" in acts[0] and "start" in acts[0]
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,162 @@
+"""The four rules, and work that stands still."""
+
+import pytest
+
+from lilacwalk.decisions.interface import Effect, Ending, Place, StopMode
+
+
+@pytest.mark.parametrize("effect", list(Effect))
+def test_everything_is_answered_once_by_its_due_time(make_host, group, effect):
+    host = make_host(groups=[group(effect=effect, late_benefit=0.2)])
+    running, other, held = host.arrive(ttl=20_000), host.arrive(ttl=20_000), host.arrive(ttl=20_000)
+    host.wait(20_000)
+    for ex in (running, other, held):
+        assert len(host.answers(ex)) == 1
+    if effect is not Effect.REPEATABLE:
+        assert host.answers(running) == ["terminate"]
+    host.finish(running, Ending.STOPPED)
+    assert host.controller.on_cores == 1
+
+
+def test_one_that_is_due_when_read_is_answered_at_once(host):
+    assert host.answers(host.arrive(ttl=1)) == ["deny"]
+
+
+def test_nothing_is_owed_once_the_caller_is_gone(make_host):
+    host = make_host(stop_mode=StopMode.DROP)
+    running, _, held = host.arrive(), host.arrive(), host.arrive()
+    host.round((host.controller.gone, running), (host.controller.gone, held))
+    host.wait(29_000)
+    assert host.answers(running) == host.answers(held) == [] and host.whats("stop")[0] is running
+
+
+def test_a_deduplicated_exchange_runs_once(make_host, once):
+    host = make_host(groups=[once])
+    first = host.arrive()
+    again = host.arrive(repeats=first)
+    host.finish(first)
+    late = host.arrive(repeats=first)
+    assert host.whats("start") == [first] and host.whats("join") == [again, late]
+    assert host.whats("keep") == [first]
+
+
+def test_a_repeat_joins_when_the_held_first_starts(make_host, once):
+    host = make_host(groups=[once], cores=1)
+    blocker, first = host.arrive(), host.arrive()
+    again = host.arrive(repeats=first)
+    assert host.whats("join") == []
+    host.finish(blocker)
+    assert host.whats("start") == [blocker, first] and host.whats("join") == [again]
+
+
+def test_a_repeat_runs_when_the_first_left_without_running(make_host, once):
+    host = make_host(groups=[once], cores=1)
+    blocker, first = host.arrive(), host.arrive()
+    again = host.arrive(repeats=first)
+    host.round((host.controller.gone, first))
+    host.finish(blocker)
+    assert host.whats("start") == [blocker, again] and host.whats("keep")[-1] is again
+
+
+def test_a_repeat_of_one_that_ran_is_terminated_never_denied(make_host, once):
+    host = make_host(groups=[once])
+    first = host.arrive()
+    again = host.arrive(repeats=first)
+    host.wait(30_000)
+    assert host.answers(first) == host.answers(again) == ["terminate"]
+
+
+def test_the_window_counts_from_reaching_the_machine_and_its_entry_frees_memory(make_host, once):
+    host = make_host(groups=[once], key_kb=100.0)
+    first = host.arrive(arrived=host.now - 2_000)
+    kept = [act for act in host.did if act[0] == "keep"][0]
+    assert 48_000 <= kept[2] <= 48_100
+    host.finish(first)
+    assert host.controller.memory == 100
+    host.wait(49_000)
+    assert host.controller.memory == 0
+
+
+def test_an_unsure_call_of_work_with_an_effect_is_not_repeated(make_host, group):
+    host = make_host(groups=[group(effect=Effect.MUTATING, calls=True)], has_dependency=True, call_share=3.0)
+    ex = host.arrive()
+    host.round((host.controller.at_call, ex))
+    host.round((host.controller.called, ex, Ending.REJECTED, 50))
+    assert host.whats("call") == [ex, ex]  # known not to have run
+    host.round((host.controller.called, ex, Ending.BROKEN_OFF, 50))
+    assert host.whats("call") == [ex, ex] and host.answers(ex) == ["terminate"]
+
+
+def test_nothing_runs_that_came_after_the_grace_and_all_is_answered_before_the_stop(host):
+    host.round((host.controller.leave, host.now + 40_000))
+    early = host.arrive()
+    host.wait(10_500)
+    late = host.arrive()
+    assert early.ran and host.answers(late) == ["deny"]
+    host.wait(28_900)
+    assert not host.controller.open or all(ex.answered for ex in host.controller.open)
+
+
+def test_memory_is_never_promised_twice(make_host):
+    host = make_host(memory_kb=500.0, cores=8)
+    for _ in range(40):
+        host.arrive(hold_kb=20.0)
+        assert host.controller.memory <= 500
+    assert host.whats("deny") and len(host.whats("start")) >= 4
+
+
+def test_calls_in_hand_stay_under_the_share_with_abandoned_ones_counted(make_host, group):
+    host = make_host(groups=[group(calls=True)], has_dependency=True, call_share=1.5, linger=2_000)
+    first, second = host.arrive(), host.arrive()
+    host.round((host.controller.at_call, first), (host.controller.at_call, second))
+    assert host.whats("call") == [first]
+    host.round((host.controller.called, first, Ending.ABANDONED, 100))
+    assert host.whats("call") == [first]
+    host.wait(2_250)
+    assert len(host.whats("call")) == 2
+
+
+def test_a_share_under_one_call_is_kept_in_the_mean(make_host, group):
+    host = make_host(groups=[group(calls=True)], has_dependency=True, call_share=0.5, call_span=50_000)
+    first, second = host.arrive(), host.arrive()
+    host.round((host.controller.at_call, first), (host.controller.at_call, second))
+    host.now += 1_000
+    host.round((host.controller.called, first, Ending.OK, 1_000))
+    assert host.whats("call") == [first]
+    host.wait(2_000)
+    assert host.whats("call") == [first, second]
+
+
+def test_a_crawling_dependency_shrinks_the_calls_in_hand_and_recovers(make_host, group):
+    host = make_host(groups=[group(calls=True, skip_benefit=0.5)], has_dependency=True, call_share=6.0)
+    for lag in [500] * 10:
+        host.controller._learn_call(lag)
+    for lag in [5_000] * 10:
+        host.controller._learn_call(lag)
+    assert host.controller.call_limit == 1
+    ex = host.arrive()
+    host.wait(6_000)
+    host.round((host.controller.at_call, ex))
+    assert host.whats("skip_call") == [ex]  # too late for a call, yet in time without one
+    for lag in [500] * 40:
+        host.controller._learn_call(lag)
+    assert host.controller.call_limit == 6
+
+
+def test_work_that_stands_still_is_denied_until_something_moves(host):
+    running = [host.arrive(), host.arrive()]
+    held = host.arrive()
+    host.wait(9_000 * 2)
+    assert host.controller.stalled and all(host.answers(ex) == ["deny"] for ex in [*running, held])
+    late = host.arrive()
+    assert host.answers(late) == ["deny"] and host.whats("health")[-1] is False
+    host.finish(running[0], Ending.STOPPED)
+    assert host.whats("health")[-1] is True and not host.answers(host.arrive())
+
+
+def test_a_stall_of_the_whole_process_is_not_work_that_hangs(host):
+    running = host.arrive()
+    host.wait(500)
+    host.now += 8_000
+    host.round((host.controller.timer, 1.0, 9.0, 0.0))
+    assert not host.controller.stalled and running.place is Place.ON_CORES
