--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -565,7 +565,8 @@
         elsewhere, so it is denied at once and callers are told to stay away until anything moves."""
         if self.stalled or not self.on_cores:
             return
-        gap = self.mean_run / min(self.on_cores, self.server.cores) / self._least_speed()
+        longest = max(self.run_times.values(), default=self.mean_run)  # a lone long run is no silence
+        gap = longest / min(self.on_cores, self.server.cores) / self._least_speed()
         if self.now - self.last_progress < SILENCE * gap + 4 * SWEEP:
             return
         self.stalled = True
