--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -81,6 +81,7 @@
         self.best_run = inf
         self.mean_slo = sum(group.slo_time for group in server.groups) / len(server.groups)
         self.hint_ratio = 1.0
+        self.usual_patience: dict[EndpointGroup, tuple[int, int]] = {}  # and votes for it
         self.call_time = self.quiet_call_time = 0.0
         self.call_limit = float(self._call_cap())
         self.unread_wait = 0.0  # from reaching the machine until read
@@ -125,7 +126,8 @@
         self.open[ex] = None
         self.memory += ex.hold_kb
         ex.work = self._expected_run(ex)
-        ex.slo_due = min(ex.due, ex.arrived + group.slo_time + int(group.slo_stretch * ex.work))
+        slo_time = group.slo_time + int(group.slo_stretch * ex.work) - self._age(ex)
+        ex.slo_due = min(ex.due, ex.arrived + slo_time)
         ex.density = group.benefit / (1 if self.server.benefit_by_work else max(1, ex.work))
         self._at(ex.due - self.margin, self._overdue, ex)
         if ex.repeats and self._join(ex):
@@ -319,6 +321,17 @@
             wait += self._call_wait()
         return self.now + wait + MAKES_IT * ex.work <= until
 
+    def _age(self, ex: Exchange) -> int:
+        """How long its caller had been trying before. A first try is given the group's usual patience, a last one
+        what is left of the async timeout: patience unlike the usual tells the age, and many late tries that
+        look fresh are past their SLO time. Misleads where callers' patience differs widely on first tries."""
+        patience, timeout = ex.due - ex.arrived, ex.group.async_timeout
+        usual, votes = self.usual_patience.get(ex.group, (patience, 0))
+        alike = abs(patience - usual) <= timeout // 100
+        votes += 1 if alike else -1  # majority vote: the most common value stays
+        self.usual_patience[ex.group] = (usual, min(votes, 100)) if votes >= 0 else (patience, 1)
+        return 0 if alike else max(0, timeout - patience)
+
     def _line_before(self, ex: Exchange) -> float:
         if self.on_cores < self.limit and not self.held:
             return 0.0
