--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -39,8 +39,9 @@
 KP = KI * TICK / SECOND  # equal weight to a change of T and to T itself: the usual start for a lagging plant
 MEMORY_LIMIT = 0.9  # of the memory; the rest is for what is read in one round before it can be denied
 LEARN = 0.05  # weight of the newest run or call in its running mean: about the last twenty count
-CALL_LEARN = 0.2  # calls slow down within seconds: about the last five count
-CROWDED = 3  # times the quiet call time: beyond what scatter does to a mean of five
+CALL_LEARN = 0.1  # calls slow down within seconds: about the last ten count
+QUIET_LEARN = 0.02  # the quiet level: the last fifty or so, and hardly any while calls are crowded
+CROWDED = 2.5  # times the quiet call time: beyond what scatter does to a mean of ten
 MAKES_IT = 0.7  # share of the expected run time that must fit: run times scatter widely around their mean
 SILENCE = 9  # expected gaps without progress before work counts as standing still: e^-9 by chance
 OVER_SHARE = 1.2  # times its share before a customer counts as over it: routers spread unevenly
@@ -81,9 +82,12 @@
         self.best_run = inf
         self.mean_slo = sum(group.slo_time for group in server.groups) / len(server.groups)
         self.hint_ratio = 1.0
+        # Where calls are crowded only those who lose most without one still make theirs.
+        self.most_lost = max((each.benefit * (1 - each.skip_benefit) for each in server.groups if each.calls), default=0)
         self.usual_patience: dict[EndpointGroup, tuple[int, int]] = {}  # and votes for it
         self.call_time = self.quiet_call_time = 0.0
         self.call_limit = float(self._call_cap())
+        self.calls_crowded = False
         self.unread_wait = 0.0  # from reaching the machine until read
         self.last_progress = now
         self.last_timer = now
@@ -493,8 +497,10 @@
         """Departure: T leaves call waits out, so a dependency that slows down, for whatever reason, would be
         fed on. Call times well over their quiet level shrink the calls in hand; one is left to probe."""
         self.call_time += CALL_LEARN * (lag - self.call_time) if self.call_time else lag
-        self.quiet_call_time = min(self.call_time, self.quiet_call_time * 1.001 or self.call_time)
-        if self.call_time > CROWDED * self.quiet_call_time:
+        weight = QUIET_LEARN / 20 if self.calls_crowded else QUIET_LEARN
+        self.quiet_call_time += weight * (lag - self.quiet_call_time) if self.quiet_call_time else lag
+        self.calls_crowded = self.call_time > CROWDED * self.quiet_call_time
+        if self.calls_crowded:
             self.call_limit = max(1.0, self.call_limit * 0.8)
         else:
             self.call_limit = min(self._call_cap(), self.call_limit + 0.25)
@@ -508,7 +514,9 @@
             until = ex.slo_due if group.late_benefit == 0 else ex.due - self.margin
             turn = self.call_time * (1 + waiting.index(ex) / self.call_limit)
             late = self.now + turn + MAKES_IT / 2 * ex.work > until
-            if not late and again:
+            yields = (self.calls_crowded and self.calling >= int(self.call_limit)
+                      and group.benefit * (1 - group.skip_benefit) < self.most_lost)
+            if again and not late and not (yields and group.skip_benefit > 0):
                 continue
             if group.skip_benefit > 0:
                 self.at_calls.remove(ex)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -160,3 +160,15 @@
     host.now += 8_000
     host.round((host.controller.timer, 1.0, 9.0, 0.0))
     assert not host.controller.stalled and running.place is Place.ON_CORES
+
+
+def test_while_calls_are_crowded_who_loses_less_goes_on_without(make_host, group):
+    needs = group(name="needs", calls=True, benefit=3.0)
+    can_skip = group(name="can skip", calls=True, skip_benefit=0.6)
+    host = make_host(groups=[needs, can_skip], cores=4, has_dependency=True, call_share=3.0)
+    for lag in [500] * 20 + [4_000] * 12:
+        host.controller._learn_call(lag)
+    first, second = host.arrive(needs), host.arrive(can_skip)
+    host.round((host.controller.at_call, first), (host.controller.at_call, second))
+    host.wait(250)
+    assert host.whats("call") == [first] and host.whats("skip_call") == [second]
