--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -14,16 +14,7 @@
 from math import inf
 
 from lilacwalk.decisions.interface import (
-    Advice,
-    AppServer,
-    Customer,
-    Effect,
-    Ending,
-    EndpointGroup,
-    Exchange,
-    Place,
-    StopMode,
-    Writer,
+    Advice, AppServer, Customer, Effect, Ending, EndpointGroup, Exchange, Place, StopMode, Writer,
 )
 
 SECOND = 10_000
@@ -40,8 +31,8 @@
 MEMORY_LIMIT = 0.9  # of the memory; the rest is for what is read in one round before it can be denied
 LEARN = 0.05  # weight of the newest run or call in its running mean: about the last twenty count
 CALL_LEARN = 0.1  # calls slow down within seconds: about the last ten count
-QUIET_LEARN = 0.02  # the quiet level: the last fifty or so, and hardly any while calls are crowded
-CROWDED = 2.5  # times the quiet call time: beyond what scatter does to a mean of ten
+QUIET_LEARN = 0.005  # the quiet level: some two hundred, and hardly any while calls are crowded
+CROWDED = 3  # times the quiet call time: beyond what scatter does to a mean of ten
 MAKES_IT = 0.7  # share of the expected run time that must fit: run times scatter widely around their mean
 SILENCE = 9  # expected gaps without progress before work counts as standing still: e^-9 by chance
 OVER_SHARE = 1.2  # times its share before a customer counts as over it: routers spread unevenly
@@ -83,7 +74,8 @@
         self.mean_slo = sum(group.slo_time for group in server.groups) / len(server.groups)
         self.hint_ratio = 1.0
         # Where calls are crowded only those who lose most without one still make theirs.
-        self.most_lost = max((each.benefit * (1 - each.skip_benefit) for each in server.groups if each.calls), default=0)
+        losses = [group.benefit * (1 - group.skip_benefit) for group in server.groups if group.calls]
+        self.most_lost = max(losses, default=0)
         self.usual_patience: dict[EndpointGroup, tuple[int, int]] = {}  # and votes for it
         self.call_time = self.quiet_call_time = 0.0
         self.call_limit = float(self._call_cap())
@@ -194,7 +186,7 @@
         self.out.log("leaving: new work is steered away")
         self._advise()
 
-    def timer(self, core_use: float, run_queue: float, links: float) -> None:
+    def timer(self, core_use: float, run_queue: float) -> None:
         self.out.timer(SWEEP)
         gap = self.now - self.last_timer - SWEEP
         self.last_timer = self.now
@@ -257,10 +249,11 @@
         self.finished_in_tick += 1
 
     def _refused_at_door(self, ex: Exchange) -> bool:
+        group, memory = ex.group, MEMORY_LIMIT * self.server.memory_kb
         admitted = self.chance.random() < self.p_a  # drawn for every arrival
         if ex.due - self.now <= self.margin or self.leave_by and ex.arrived > self.grace_end or self.stalled:
             self._give_up(ex)
-        elif self.memory + self._key_kb(ex) > MEMORY_LIMIT * self.server.memory_kb:
+        elif self.memory + self.server.key_kb * (group.effect is Effect.DEDUPLICATED) > memory:
             self._give_up(ex)
         elif not admitted or self._over_share(ex):
             self._give_up(ex, not_elsewhere=self._fleet_short(ex))
@@ -278,7 +271,7 @@
         while self.held and self.on_cores < self.limit:
             calls_full = len(self.at_calls) + self.calling >= 4 * self.limit
             able = [ex for ex in self.held
-                    if not (calls_full and ex.group.calls) and not self._waits_for_first(ex)
+                    if not (calls_full and ex.group.calls or ex.repeats and ex.repeats.place is Place.HELD)
                     and self.memory + ex.hold_kb * (self.server.run_factor - 1) <= free_kb]
             if not able:
                 return
@@ -326,9 +319,9 @@
         return self.now + wait + MAKES_IT * ex.work <= until
 
     def _age(self, ex: Exchange) -> int:
-        """How long its caller had been trying before. A first try is given the group's usual patience, a last one
-        what is left of the async timeout: patience unlike the usual tells the age, and many late tries that
-        look fresh are past their SLO time. Misleads where callers' patience differs widely on first tries."""
+        """How long its caller had been trying before. A first try states its group's usual patience, a last
+        one what is left of the async timeout: patience unlike the usual tells the age, and many a late try
+        that looks fresh is past its SLO time. Misleads where callers' patience differs widely on first tries."""
         patience, timeout = ex.due - ex.arrived, ex.group.async_timeout
         usual, votes = self.usual_patience.get(ex.group, (patience, 0))
         alike = abs(patience - usual) <= timeout // 100
@@ -354,7 +347,8 @@
         Rates are compared with the allowance and with the other customers: where all are over, the server
         merely gets more than its part. Hurts where a router sends one customer to few servers.
         """
-        if not ex.customer or self.server.over_share_benefit >= 0.5 or not self._short():
+        short = self.p_a < 0.98 or len(self.held) > self.server.cores
+        if not ex.customer or self.server.over_share_benefit >= 0.5 or not short:
             return False
         parts = [self.customer_rates[each] / max(0.01, each.allowance / self.server.fleet)
                  for each in self.server.customers]
@@ -365,9 +359,6 @@
     def _room(self) -> bool:
         return self.core_use < 0.85 and self.run_queue < self.server.cores
 
-    def _short(self) -> bool:
-        return self.p_a < 0.98 or len(self.held) > self.server.cores
-
     def _fleet_short(self, ex: Exchange) -> bool:
         """Whether another server would be as short: this one runs work as fast as ever, yet has too much."""
         if self.stalled or self.leave_by or self._cold() or self.mean_run > 1.5 * self.best_run:
@@ -450,9 +441,6 @@
 
     # The table of keys
 
-    def _key_kb(self, ex: Exchange) -> float:
-        return self.server.key_kb if ex.group.effect is Effect.DEDUPLICATED else 0.0
-
     def _keep(self, ex: Exchange) -> None:
         """Kept while held already, so that a repeat is known whenever it comes in the window."""
         time = ex.arrived + ex.group.window - self.now + self.server.quantum
@@ -484,9 +472,6 @@
         self.held.append(ex)
         return True
 
-    def _waits_for_first(self, ex: Exchange) -> bool:
-        return ex.repeats is not None and ex.repeats.place is Place.HELD
-
     # Calls to what lies below
 
     def _call_cap(self) -> int:
@@ -508,6 +493,9 @@
     def _make_calls(self) -> None:
         waiting = [ex for ex in self.at_calls if not ex.answered]
         waiting.sort(key=lambda ex: -ex.group.benefit * (1 - ex.group.skip_benefit))
+        share, cores = self.server.call_share, self.server.cores
+        # What resumes comes on top of the start limit: up to three quarters of the survivable crowd.
+        most = max(cores + 1, 0.75 * cores * (1 + (self.server.tip_multiple - 1) * self._least_speed()))
         for ex in list(waiting):
             group = ex.group
             again = not ex.called_unsure or group.effect is Effect.REPEATABLE
@@ -518,20 +506,18 @@
                       and group.benefit * (1 - group.skip_benefit) < self.most_lost)
             if again and not late and not (yields and group.skip_benefit > 0):
                 continue
-            if group.skip_benefit > 0:
+            if group.skip_benefit > 0 and self.on_cores + self.calling < most:
                 self.at_calls.remove(ex)
                 self._resume(ex)
                 self.out.skip_call(ex)
-            elif not again or group.effect is Effect.REPEATABLE:
+            elif not again or late and group.effect is Effect.REPEATABLE:
                 self._count_answer(ex)
                 self._give_up(ex, not_elsewhere=True)
             else:
                 continue
             waiting.remove(ex)
-        share, cores = self.server.call_share, self.server.cores
-        bound = cores * (1 + (self.server.tip_multiple - 1) * self._least_speed()) * 0.75
         for ex in waiting:
-            if self.calling >= int(self.call_limit) or self.on_cores + self.calling >= max(cores + 1, bound):
+            if self.calling >= int(self.call_limit) or self.on_cores + self.calling >= most:
                 return
             if 0 < share < 1 and self.now < self.call_ready:
                 return
@@ -547,15 +533,12 @@
 
     def _call_ended(self, ex: Exchange, lag: int, lingers: bool) -> None:
         if lingers:
-            self._at(self.now + self.server.linger, self._call_left)
+            self._at(self.now + self.server.linger, self._call_ended, ex, 0, False)
         else:
             self.calling -= 1
         if 0 < self.server.call_share < 1:  # one call at a time, then a rest, keeps the mean under the share
             held = lag + (self.server.linger if lingers else 0)
-            self.call_ready = self.now + int(held / self.server.call_share)
-
-    def _call_left(self) -> None:
-        self.calling -= 1
+            self.call_ready = max(self.call_ready, self.now + int(held / self.server.call_share))
 
     def _resume(self, ex: Exchange) -> None:
         ex.place = Place.ON_CORES
--- a/lilacwalk/decisions/interface.py
+++ b/lilacwalk/decisions/interface.py
@@ -87,11 +87,8 @@
     fleet: int = 1
     callers: int = 1
     key_kb: float = 0.0
-    fresh: int = 0
     stop_mode: StopMode = StopMode.NONE
     advice: Advice = Advice.NONE
-    said_for: int = 0
-    has_dependency: bool = False
     call_share: float = 0.0  # its part of the calls in hand that the dependency survives; 0: untold
     call_span: int = 0
     linger: int = 0
@@ -117,7 +114,6 @@
     work_hint: int = 0  # 0: none
     retry: bool = False
     caller: int = 0
-    rank: float = 0.0  # 0 to 1, lowest benefit first
     repeats: Exchange | None = None
     # Written by the controller.
     place: Place = Place.HELD
