--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -25,6 +25,7 @@
 P_FLOOR = 0.05
 # Outstanding includes what is on its way and unread, so tokens leave room for it; 0.5 to 0.8 score alike.
 TOKENS_PART = 0.65
+EASE_MOST = 10.0  # times the tokens while cores are free: enough for dozens of callers
 # At half-target T p_a climbs from floor to 1 in about five ticks when arrivals equal what the cores finish.
 KI = (1 - P_FLOOR) / 5 / (T_REF / 2) / (TICK / SECOND)
 KP = KI * TICK / SECOND  # equal weight to a change of T and to T itself: the usual start for a lagging plant
@@ -88,7 +89,7 @@
         self.caller_counts: dict[int, float] = {}
         self.call_ready = now
         self.stalled = False
-        self.level = 0.0
+        self.level, self.ease = 0.0, 2.0
         self.said = -1.0
         self.grace_end = self.leave_by = 0  # 0: no notice to leave yet
 
@@ -321,7 +322,7 @@
     def _age(self, ex: Exchange) -> int:
         """How long its caller had been trying before. A first try states its group's usual patience, a last
         one what is left of the async timeout: patience unlike the usual tells the age, and many a late try
-        that looks fresh is past its SLO time. Misleads where callers' patience differs widely on first tries."""
+        that looks fresh is past its SLO time. Misleads where callers' patience differs widely at first."""
         patience, timeout = ex.due - ex.arrived, ex.group.async_timeout
         usual, votes = self.usual_patience.get(ex.group, (patience, 0))
         alike = abs(patience - usual) <= timeout // 100
@@ -610,5 +611,8 @@
         seen = sum(self.caller_counts.values())
         part = max(self.caller_counts.values()) / seen if seen > 5 else 1 / self.server.callers
         unread = min(0.7, self.unread_wait / (T_REF * self.mean_slo))
-        calm = 2 if self._room() and not self.held else 1
-        return max(0.2, calm * in_hand * part * (1 - unread))
+        # Callers rarely use all their tokens at once, least where there are many: while cores stay free more
+        # are given out, and fewer again at once when they fill.
+        calm = self._room() and not self.held
+        self.ease = min(EASE_MOST, self.ease * 1.1) if calm else max(1.0, self.ease * 0.8)
+        return max(0.2, self.ease * in_hand * part * (1 - unread))
