--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -77,7 +77,7 @@
         # Where calls are crowded only those who lose most without one still make theirs.
         losses = [group.benefit * (1 - group.skip_benefit) for group in server.groups if group.calls]
         self.most_lost = max(losses, default=0)
-        self.usual_patience: dict[EndpointGroup, tuple[int, int]] = {}  # and votes for it
+        self.usual_patience: dict[tuple, tuple[int, int]] = {}  # by caller and group, with votes
         self.call_time = self.quiet_call_time = 0.0
         self.call_limit = float(self._call_cap())
         self.calls_crowded = False
@@ -320,14 +320,15 @@
         return self.now + wait + MAKES_IT * ex.work <= until
 
     def _age(self, ex: Exchange) -> int:
-        """How long its caller had been trying before. A first try states its group's usual patience, a last
+        """How long its caller had been trying before. A first try states its caller's usual patience, a last
         one what is left of the async timeout: patience unlike the usual tells the age, and many a late try
-        that looks fresh is past its SLO time. Misleads where callers' patience differs widely at first."""
+        that looks fresh is past its SLO time. Misleads where one caller's patience varies."""
         patience, timeout = ex.due - ex.arrived, ex.group.async_timeout
-        usual, votes = self.usual_patience.get(ex.group, (patience, 0))
+        usual, votes = self.usual_patience.get((ex.caller, ex.group), (patience, 0))
         alike = abs(patience - usual) <= timeout // 100
         votes += 1 if alike else -1  # majority vote: the most common value stays
-        self.usual_patience[ex.group] = (usual, min(votes, 100)) if votes >= 0 else (patience, 1)
+        votes = min(votes, 100)
+        self.usual_patience[ex.caller, ex.group] = (usual, votes) if votes >= 0 else (patience, 1)
         return 0 if alike else max(0, timeout - patience)
 
     def _line_before(self, ex: Exchange) -> float:
