--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -19,9 +19,10 @@
 
 SECOND = 10_000
 TICK = SECOND // 2  # h of the design: about one answer time of a crowded server
-SWEEP = 250  # the one timer; 25 ms is far under any SLO time and costs little
+SWEEP = 250  # the one timer's longest period: 25 ms costs little
+SWEEPS = 40  # periods in the shortest SLO time, so that looking at the clock stays fine beside it
 T_REF = 0.5  # under the design's 1, as an answer after the SLO time is worth little: the mean must leave room
-ADVICE_EVERY = 4 * SWEEP  # well within the time that callers remember what they were told
+ADVICE_EVERY = SECOND // 10  # well within the time that callers remember what they were told
 P_FLOOR = 0.05
 # Outstanding includes what is on its way and unread, so tokens leave room for it; 0.5 to 0.8 score alike.
 TOKENS_PART = 0.65
@@ -46,7 +47,9 @@
         self.out: Writer = None  # type: ignore[assignment]  # set for the length of a round
         self.chance = random.Random(server.seed)
         self.began = now
-        self.margin = SWEEP + 2 * server.quantum  # the next look at the clock comes no later than this
+        shortest = min(group.slo_time for group in server.groups)
+        self.sweep = max(server.quantum, min(SWEEP, shortest // SWEEPS))
+        self.margin = self.sweep + 2 * server.quantum  # the next look at the clock comes no later than this
         self.due_times: list[tuple] = []
         self.order = count()
         # What the server has in hand.
@@ -60,17 +63,15 @@
         # The PI loop.
         self.p_a = 1.0
         self.last_e = 0.0
-        self.arrivals = 0
-        self.rate = 0.0  # λ, exchanges a second
+        self.arrivals, self.rate = 0, 0.0  # in this tick; λ, exchanges a second
         self.t_sum = self.t_count = self.slo_sum = 0.0
         self.finished_in_tick = 0
-        self.next_tick = now + TICK
-        self.next_advice = now
+        self.next_tick, self.next_advice = now + TICK, now
         self.core_use, self.run_queue = 0.0, 0.0
         # What was measured.
         self.run_times: dict[EndpointGroup, float] = {}
         # Until runs were seen: SLO times are set some way above run times.
-        self.mean_run = min(group.slo_time for group in server.groups) / 4
+        self.mean_run = shortest / 4
         self.best_run = inf
         self.mean_slo = sum(group.slo_time for group in server.groups) / len(server.groups)
         self.hint_ratio = 1.0
@@ -82,12 +83,10 @@
         self.call_limit = float(self._call_cap())
         self.calls_crowded = False
         self.unread_wait = 0.0  # from reaching the machine until read
-        self.last_progress = now
-        self.last_timer = now
+        self.last_progress = self.last_timer = self.call_ready = now
         self.customer_counts: dict[Customer, int] = {each: 0 for each in server.customers}
         self.customer_rates: dict[Customer, float] = {each: 0.0 for each in server.customers}
         self.caller_counts: dict[int, float] = {}
-        self.call_ready = now
         self.stalled = False
         self.level, self.ease = 0.0, 2.0
         self.said = -1.0
@@ -110,7 +109,7 @@
 
     def begin(self) -> None:
         self.out.health(True)
-        self.out.timer(SWEEP)
+        self.out.timer(self.sweep)
         self._advise()
 
     def arrive(self, ex: Exchange) -> None:
@@ -182,16 +181,16 @@
         """The notice to leave: steer callers away, and end shortly before the stop what is unanswered."""
         self.grace_end = self.now + self.server.drain_grace
         self.leave_by = max(self.now, stop - 2 * self.margin)
-        self._at(self.leave_by, self._end_all)
+        self._at(self.leave_by, self._give_up_all, True)
         self.out.health(False)
         self.out.log("leaving: new work is steered away")
         self._advise()
 
     def timer(self, core_use: float, run_queue: float) -> None:
-        self.out.timer(SWEEP)
-        gap = self.now - self.last_timer - SWEEP
+        self.out.timer(self.sweep)
+        gap = self.now - self.last_timer - self.sweep
         self.last_timer = self.now
-        if gap > 2 * SWEEP:  # the whole process stood still, which is no sign of work that hangs
+        if gap > 2 * self.sweep:  # the whole process stood still, which is no sign of work that hangs
             self.last_progress += gap
         self.core_use, self.run_queue = core_use, run_queue
         if self.held and run_queue < self.server.cores and self.on_cores >= self.limit and not self._cold():
@@ -256,9 +255,7 @@
             self._give_up(ex)
         elif self.memory + self.server.key_kb * (group.effect is Effect.DEDUPLICATED) > memory:
             self._give_up(ex)
-        elif not admitted or self._over_share(ex):
-            self._give_up(ex, not_elsewhere=self._fleet_short(ex))
-        elif not self._makes_it(ex, self._line_before(ex)):
+        elif not admitted or self._over_share(ex) or not self._makes_it(ex, self._line_before(ex)):
             self._give_up(ex, not_elsewhere=self._fleet_short(ex))
         return ex.answered
 
@@ -280,10 +277,8 @@
 
     def _start(self, ex: Exchange) -> None:
         self.held.remove(ex)
-        if not self.on_cores:
-            self.last_progress = self.now
-        ex.place, ex.ran, ex.started = Place.ON_CORES, True, self.now
-        self.on_cores += 1
+        ex.ran, ex.started = True, self.now
+        self._enter_cores(ex)
         self.memory += ex.hold_kb * (self.server.run_factor - 1)
         self.out.start(ex)
         for follower in ex.followers:
@@ -292,6 +287,12 @@
                 follower.place = Place.JOINED
                 self.out.join(follower)
 
+    def _enter_cores(self, ex: Exchange) -> None:
+        if not self.on_cores:
+            self.last_progress = self.now
+        ex.place = Place.ON_CORES
+        self.on_cores += 1
+
     # What can still make it
 
     def _expected_run(self, ex: Exchange) -> int:
@@ -389,18 +390,17 @@
 
     def _stop(self, ex: Exchange) -> None:
         """Work that serves nobody is stopped, unless a repeat may still be answered from it."""
-        if ex.place is Place.ON_CORES and ex.group.effect is Effect.REPEATABLE:
-            if self.server.stop_mode is not StopMode.NONE:
-                self.out.stop(ex)
+        may_stop = ex.group.effect is Effect.REPEATABLE and self.server.stop_mode is not StopMode.NONE
+        if ex.place is Place.ON_CORES and may_stop:
+            self.out.stop(ex)
 
     def _overdue(self, ex: Exchange) -> None:
-        if not ex.answered:
-            if ex.ran:
-                self.out.terminate(ex)
-                ex.answered = True
-                self._stop(ex)
-            else:
-                self._give_up(ex, not_elsewhere=True)
+        if not ex.answered and ex.ran:
+            self.out.terminate(ex)
+            ex.answered = True
+            self._stop(ex)
+        elif not ex.answered:
+            self._give_up(ex, not_elsewhere=True)
 
     def _too_late(self, ex: Exchange) -> None:
         """Past its SLO time it earns nothing. Work with an effect goes on: ended early it may come again."""
@@ -410,9 +410,9 @@
             self._count_answer(ex)
             self._give_up(ex, not_elsewhere=True)
 
-    def _end_all(self) -> None:
+    def _give_up_all(self, with_effects: bool) -> None:
         for ex in list(self.open):
-            if not ex.answered:
+            if not ex.answered and (with_effects or ex.group.effect is Effect.REPEATABLE or not ex.ran):
                 self._give_up(ex)
 
     def _over(self, ex: Exchange) -> None:
@@ -543,12 +543,9 @@
             self.call_ready = max(self.call_ready, self.now + int(held / self.server.call_share))
 
     def _resume(self, ex: Exchange) -> None:
-        ex.place = Place.ON_CORES
         ex.call_wait += self.now - ex.call_since
         ex.called_unsure = False
-        if not self.on_cores:
-            self.last_progress = self.now
-        self.on_cores += 1
+        self._enter_cores(ex)
 
     # Health and advice
 
@@ -573,15 +570,13 @@
             return
         longest = max(self.run_times.values(), default=self.mean_run)  # a lone long run is no silence
         gap = longest / min(self.on_cores, self.server.cores) / self._least_speed()
-        if self.now - self.last_progress < SILENCE * gap + 4 * SWEEP:
+        if self.now - self.last_progress < SILENCE * gap + 4 * self.sweep:
             return
         self.stalled = True
         self.out.health(False)
         self.out.log("work stands still: all is denied until something moves")
         self._advise()
-        for ex in list(self.open):
-            if not ex.answered and (ex.group.effect is Effect.REPEATABLE or not ex.ran):
-                self._give_up(ex)
+        self._give_up_all(with_effects=False)
 
     def _advise(self) -> None:
         advice = self.server.advice
