--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -34,6 +34,7 @@
 LEARN = 0.05  # weight of the newest run or call in its running mean: about the last twenty count
 CALL_LEARN = 0.1  # calls slow down within seconds: about the last ten count
 QUIET_LEARN = 0.005  # the quiet level: some two hundred, and hardly any while calls are crowded
+FIRST_CALLS = 20  # enough for a mean within a quarter of the true one
 CROWDED = 3  # times the quiet call time: beyond what scatter does to a mean of ten
 MAKES_IT = 0.7  # share of the expected run time that must fit: run times scatter widely around their mean
 SILENCE = 9  # expected gaps without progress before work counts as standing still: e^-9 by chance
@@ -80,6 +81,7 @@
         self.most_lost = max(losses, default=0)
         self.usual_patience: dict[tuple, tuple[int, int]] = {}  # by caller and group, with votes
         self.call_time = self.quiet_call_time = 0.0
+        self.calls_seen = 0
         self.call_limit = float(self._call_cap())
         self.calls_crowded = False
         self.unread_wait = 0.0  # from reaching the machine until read
@@ -483,9 +485,11 @@
     def _learn_call(self, lag: int) -> None:
         """Departure: T leaves call waits out, so a dependency that slows down, for whatever reason, would be
         fed on. Call times well over their quiet level shrink the calls in hand; one is left to probe."""
-        self.call_time += CALL_LEARN * (lag - self.call_time) if self.call_time else lag
+        self.calls_seen += 1  # plain means at first: one odd first call must not set the level
+        self.call_time += max(CALL_LEARN, 1 / self.calls_seen) * (lag - self.call_time)
         weight = QUIET_LEARN / 20 if self.calls_crowded else QUIET_LEARN
-        self.quiet_call_time += weight * (lag - self.quiet_call_time) if self.quiet_call_time else lag
+        weight = 1 / self.calls_seen if self.calls_seen <= FIRST_CALLS else weight
+        self.quiet_call_time += weight * (lag - self.quiet_call_time)
         self.calls_crowded = self.call_time > CROWDED * self.quiet_call_time
         if self.calls_crowded:
             self.call_limit = max(1.0, self.call_limit * 0.8)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -172,3 +172,10 @@
     host.round((host.controller.at_call, first), (host.controller.at_call, second))
     host.wait(250)
     assert host.whats("call") == [first] and host.whats("skip_call") == [second]
+
+
+def test_one_odd_first_call_is_no_quiet_level(make_host, group):
+    host = make_host(groups=[group(calls=True)], call_share=3.0)
+    for lag in [20] + [500] * 30:
+        host.controller._learn_call(lag)
+    assert not host.controller.calls_crowded and host.controller.call_limit == 3
