--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -90,7 +90,8 @@
         self.customer_rates: dict[Customer, float] = {each: 0.0 for each in server.customers}
         self.caller_counts: dict[int, float] = {}
         self.stalled = False
-        self.level, self.ease = 0.0, 2.0
+        # How unlike callers are is unknown at first: a warm server starts generous, a cold one does not.
+        self.level, self.ease = 0.0, 1.0 if server.just_started else EASE_MOST
         self.said = -1.0
         self.grace_end = self.leave_by = 0  # 0: no notice to leave yet
 
