A marked retry is asked not to be tried elsewhere, however slow this server is

A marked retry has failed elsewhere already. Should hold for any shortage of the whole fleet; hurts where one server times tries out while others are free.

--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -38,6 +38,7 @@
 CROWDED = 2  # times the quiet call time: beyond what scatter does to a mean of ten
 MAKES_IT = 0.7  # share of the expected run time that must fit: run times scatter widely around their mean
 SILENCE = 9  # expected gaps without progress before work counts as standing still: e^-9 by chance
+SLOW = 1.5  # times the best run time seen: more than scatter does to a mean of twenty runs
 OVER_SHARE = 1.2  # times its share before a customer counts as over it: routers spread unevenly
 
 
@@ -366,10 +367,10 @@
         return self.core_use < 0.85 and self.run_queue < self.server.cores
 
     def _fleet_short(self, ex: Exchange) -> bool:
-        """Whether another server would be as short: this one runs work as fast as ever, yet has too much."""
-        if self.stalled or self.leave_by or self._cold() or self.mean_run > 1.5 * self.best_run:
-            return False
-        return ex.retry or self.p_a < 0.9
+        """Whether another server would be as short. A marked retry failed elsewhere already; else this server
+        must run work as fast as ever and yet have too much: a slow or cold one is short by itself."""
+        alone = self._cold() or self.mean_run > SLOW * self.best_run
+        return not self.leave_by and (ex.retry or self.p_a < 0.9 and not alone)
 
     # Giving up: always answered at once, with a time to come back
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,7 +15,7 @@
         self.server = AppServer(**server)
         self.now = 1_000_000
         self.did = []
-        self.denied_at = {}
+        self.denied_at, self.not_elsewhere = {}, {}
         self.controller = Controller(self.server, self.now)
         self.round((self.controller.begin,))
 
@@ -28,6 +28,7 @@
             self.did.append((name, *arguments))
             if name == "deny":
                 self.denied_at[arguments[0]] = self.now
+                self.not_elsewhere[arguments[0]] = arguments[2]
         return note
 
     def round(self, *calls):
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -139,3 +139,9 @@
     late = host.arrive(ttl=18_000)  # of 30,000: its caller has waited for 12,000 of an SLO time of 10,000
     assert host.answers(late) == ["deny"]
     assert not host.answers(host.arrive(ttl=28_000))  # 2,000 old: still in time
+
+
+def test_a_slow_server_lets_first_tries_go_elsewhere_but_not_what_failed_there(host):
+    host.controller.p_a, host.controller.best_run = 0.0, 100
+    first, again = host.arrive(), host.arrive(retry=True)
+    assert host.not_elsewhere[first] is False and host.not_elsewhere[again] is True
