--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -39,6 +39,7 @@
 MAKES_IT = 0.7  # share of the expected run time that must fit: run times scatter widely around their mean
 SILENCE = 9  # expected gaps without progress before work counts as standing still: e^-9 by chance
 SLOW = 1.5  # times the best run time seen: more than scatter does to a mean of twenty runs
+COMMON = 0.25  # part of a caller's tries from which their patience is one of its usual ones
 OVER_SHARE = 1.2  # times its share before a customer counts as over it: routers spread unevenly
 
 
@@ -78,11 +79,9 @@
         self.mean_slo = sum(group.slo_time for group in server.groups) / len(server.groups)
         self.hint_ratio = 1.0
         # Where calls are crowded only those who lose most without one still make theirs.
-        losses = [group.benefit * (1 - group.skip_benefit) for group in server.groups if group.calls]
-        self.most_lost = max(losses, default=0)
-        self.usual_patience: dict[tuple, tuple[int, int]] = {}  # by caller and group, with votes
-        self.call_time = self.quiet_call_time = 0.0
-        self.calls_seen = 0
+        self.most_lost = max((g.benefit * (1 - g.skip_benefit) for g in server.groups if g.calls), default=0)
+        self.patience_seen: dict[tuple, dict[int, float]] = {}  # by caller and group, counted in buckets
+        self.call_time, self.quiet_call_time, self.calls_seen = 0.0, 0.0, 0
         self.call_limit = float(self._call_cap())
         self.calls_crowded = False
         self.unread_wait = 0.0  # from reaching the machine until read
@@ -325,16 +324,18 @@
         return self.now + wait + MAKES_IT * ex.work <= until
 
     def _age(self, ex: Exchange) -> int:
-        """How long its caller had been trying before. A first try states its caller's usual patience, a last
-        one what is left of the async timeout: patience unlike the usual tells the age, and many a late try
-        that looks fresh is past its SLO time. Misleads where one caller's patience varies."""
+        """How long its caller had been trying before. First tries state one of a caller's few usual patiences, a
+        last one what is left of the async timeout: a patience seldom seen tells the age, and many a try that
+        looks fresh is past its SLO time. Misleads where a caller's patience varies without end."""
         patience, timeout = ex.due - ex.arrived, ex.group.async_timeout
-        usual, votes = self.usual_patience.get((ex.caller, ex.group), (patience, 0))
-        alike = abs(patience - usual) <= timeout // 100
-        votes += 1 if alike else -1  # majority vote: the most common value stays
-        votes = min(votes, 100)
-        self.usual_patience[ex.caller, ex.group] = (usual, votes) if votes >= 0 else (patience, 1)
-        return 0 if alike else max(0, timeout - patience)
+        seen = self.patience_seen.setdefault((ex.caller, ex.group), {})
+        bucket = 50 * patience // timeout
+        seen[bucket] = seen.get(bucket, 0) + 1
+        total = sum(seen.values())
+        if total > 400:  # what is long past fades
+            self.patience_seen[ex.caller, ex.group] = {each: n / 2 for each, n in seen.items() if n > 1}
+        alike = sum(seen.get(each, 0) for each in (bucket - 1, bucket, bucket + 1))
+        return 0 if alike >= COMMON * total else max(0, timeout - patience)
 
     def _line_before(self, ex: Exchange) -> float:
         if self.on_cores < self.limit and not self.held:
@@ -394,8 +395,8 @@
 
     def _stop(self, ex: Exchange) -> None:
         """Work that serves nobody is stopped, unless a repeat may still be answered from it."""
-        may_stop = ex.group.effect is Effect.REPEATABLE and self.server.stop_mode is not StopMode.NONE
-        if ex.place is Place.ON_CORES and may_stop:
+        may = ex.group.effect is Effect.REPEATABLE and self.server.stop_mode is not StopMode.NONE
+        if may and ex.place is Place.ON_CORES:
             self.out.stop(ex)
 
     def _overdue(self, ex: Exchange) -> None:
