--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -324,9 +324,9 @@
         return self.now + wait + MAKES_IT * ex.work <= until
 
     def _age(self, ex: Exchange) -> int:
-        """How long its caller had been trying before. First tries state one of a caller's few usual patiences,
-        a last one what is left of the async timeout: a patience seldom seen tells the age, and many a try that
-        looks fresh is past its SLO time. Misleads where a caller's patience varies without end."""
+        """How long its caller had been trying before. First tries state one of a caller's usual patiences, a
+        last one what is left of the async timeout: a patience seldom seen tells the age, and many that look
+        fresh are past their SLO time. Misleads where a caller's patience varies without end."""
         patience, timeout = ex.due - ex.arrived, ex.group.async_timeout
         seen = self.patience_seen.setdefault((ex.caller, ex.group), {})
         bucket = 50 * patience // timeout
