--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -179,3 +179,20 @@
     for lag in [20] + [500] * 30:
         host.controller._learn_call(lag)
     assert not host.controller.calls_crowded and host.controller.call_limit == 3
+
+
+@pytest.mark.parametrize("server", [
+    {}, {"cores": 1}, {"customers": []}, {"call_share": 0.2, "call_span": 50_000}, {"come_back_max": 0},
+    {"just_started": True, "warm_up": 100_000, "cold_share": 0.2}, {"tip_multiple": 1.0},
+    {"stop_mode": StopMode.PAUSE},
+])
+def test_plain_and_odd_servers_answer_everything_through_a_jump_of_the_clock(make_host, group, server):
+    host = make_host(groups=[group(calls=True, late_benefit=0.0)], **server)
+    exes = [host.arrive() for _ in range(12)]
+    host.round((host.controller.leave, host.now + 60_000))
+    for ex in host.whats("start"):
+        host.round((host.controller.at_call, ex))
+    host.now += 25_000
+    host.round((host.controller.timer, 0.0, 0.0))
+    host.wait(40_000)
+    assert all(len(host.answers(ex)) == 1 for ex in exes)
