--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -145,3 +145,11 @@
     host.controller.p_a, host.controller.best_run = 0.0, 100
     first, again = host.arrive(), host.arrive(retry=True)
     assert host.not_elsewhere[first] is False and host.not_elsewhere[again] is True
+
+
+def test_tokens_grow_while_cores_stay_free_and_shrink_when_they_fill(make_host):
+    host = make_host(advice=Advice.TOKENS, just_started=True, warm_up=1_000)
+    host.wait(20_000, core_use=0.3, run_queue=0.0)
+    grown = host.whats("advise")[-1]
+    host.wait(20_000)
+    assert grown > 3 * host.whats("advise")[0] and host.whats("advise")[-1] < grown / 3
