Idle connections close soon where callers seldom come back

Cause: with some 900 callers a server's table fills with connections that no one uses again; 45 to 82 in 100 tries found no room and a full table took its part of the cores. Holds against any full table; may hurt where opening costs much and the table is large.

--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -23,6 +23,7 @@
 SWEEPS = 40  # periods in the shortest SLO time, so that looking at the clock stays fine beside it
 T_REF = 0.5  # under the design's 1, as an answer after the SLO time is worth little: the mean must leave room
 ADVICE_EVERY = SECOND // 10  # well within the time that callers remember what they were told
+CLOSE_AFTER = SECOND // 4  # time enough for an answer's caller to send its next at once
 P_FLOOR = 0.05
 # Outstanding includes what is on its way and unread, so tokens leave room for it; 0.5 to 0.8 score alike.
 TOKENS_PART = 0.65
@@ -45,11 +46,9 @@
 
 class Controller:
     def __init__(self, server: AppServer, now: int) -> None:
-        self.server = server
-        self.now = now
+        self.server, self.now, self.began = server, now, now
         self.out: Writer = None  # type: ignore[assignment]  # set for the length of a round
         self.chance = random.Random(server.seed)
-        self.began = now
         shortest = min(group.slo_time for group in server.groups)
         self.sweep = max(server.quantum, min(SWEEP, shortest // SWEEPS))
         self.margin = self.sweep + 2 * server.quantum  # the next look at the clock comes no later than this
@@ -68,9 +67,8 @@
         self.last_e = 0.0
         self.arrivals, self.rate = 0, 0.0  # in this tick; λ, exchanges a second
         self.t_sum = self.t_count = self.slo_sum = 0.0
-        self.finished_in_tick = 0
+        self.finished_in_tick, self.core_use, self.run_queue = 0, 0.0, 0.0
         self.next_tick, self.next_advice = now + TICK, now
-        self.core_use, self.run_queue = 0.0, 0.0
         # What was measured.
         self.run_times: dict[EndpointGroup, float] = {}
         # Until runs were seen: SLO times are set some way above run times.
@@ -89,7 +87,8 @@
         self.customer_counts: dict[Customer, int] = {each: 0 for each in server.customers}
         self.customer_rates: dict[Customer, float] = {each: 0.0 for each in server.customers}
         self.caller_counts: dict[int, float] = {}
-        self.stalled = False
+        self.returning = 1.0  # part of the arrivals whose caller came here within the last seconds
+        self.closes_idle = self.stalled = False
         # How unlike callers are is unknown at first: a warm server starts generous, a cold one does not.
         self.level, self.ease = 0.0, 1.0 if server.just_started else EASE_MOST
         self.said = -1.0
@@ -118,6 +117,7 @@
     def arrive(self, ex: Exchange) -> None:
         group = ex.group
         self.arrivals += 1
+        self.returning += LEARN * ((ex.caller in self.caller_counts) - self.returning)
         self.caller_counts[ex.caller] = self.caller_counts.get(ex.caller, 0.0) + 1
         if ex.customer:
             self.customer_counts[ex.customer] += 1
@@ -219,22 +219,21 @@
             self.customer_counts[customer] = 0
         counts = self.caller_counts.items()
         self.caller_counts = {caller: seen * 0.8 for caller, seen in counts if seen > 0.05}
+        self._tend_connections()
         idle = self._room()
         if not self.finished_in_tick and not idle:
             return
         mean_t = self.t_sum / self.t_count if self.t_count else T_REF / 2
         if self.finished_in_tick:
-            self.mean_slo = self.slo_sum / self.finished_in_tick
-        slo_time = self.mean_slo / SECOND  # A
+            self.mean_slo = self.slo_sum / self.finished_in_tick  # A
         if idle:
             # Departure: with p_a near its floor too little finishes to bring T down again, and a server with
             # free cores would go on denying for good. Free cores count as half the target, whatever T says.
             mean_t = min(mean_t, T_REF / 2)
         e = T_REF - mean_t
-        # The plant gain is λ·A; the base gains are set for arrivals that just fill the cores.
-        base = self.server.cores * slo_time * SECOND / max(1, self.mean_run)
-        gain = base / (max(1.0, self.rate) * slo_time)
-        kp, ki, h = min(KP, KP * gain), min(KI, KI * gain), TICK / SECOND
+        # The plant gain is λ·A; the base gains are set for arrivals that just fill the cores (A cancels out).
+        gain = self.server.cores * SECOND / max(1, self.mean_run) / max(1.0, self.rate)
+        kp, ki, h = KP * min(1.0, gain), KI * min(1.0, gain), TICK / SECOND
         p = self.p_a + (kp + ki * h / 2) * e - (kp - ki * h / 2) * self.last_e
         if idle:
             p = max(p, self.p_a)
@@ -252,11 +251,12 @@
         self.finished_in_tick += 1
 
     def _refused_at_door(self, ex: Exchange) -> bool:
-        group, memory = ex.group, MEMORY_LIMIT * self.server.memory_kb
+        key_kb = self.server.key_kb if ex.group.effect is Effect.DEDUPLICATED else 0
         admitted = self.chance.random() < self.p_a  # drawn for every arrival
-        if ex.due - self.now <= self.margin or self.leave_by and ex.arrived > self.grace_end or self.stalled:
+        left = self.leave_by and ex.arrived > self.grace_end
+        if ex.due - self.now <= self.margin or left or self.stalled:
             self._give_up(ex)
-        elif self.memory + self.server.key_kb * (group.effect is Effect.DEDUPLICATED) > memory:
+        elif self.memory + key_kb > MEMORY_LIMIT * self.server.memory_kb:
             self._give_up(ex)
         elif not admitted or self._over_share(ex) or not self._makes_it(ex, self._line_before(ex)):
             self._give_up(ex, not_elsewhere=self._fleet_short(ex))
@@ -305,21 +305,21 @@
         return int(run)
 
     def _learn_run(self, ex: Exchange, run: int) -> None:
-        mean = self.run_times.get(ex.group)
-        mean = self.mean_run if mean is None else mean
+        mean = self.run_times.get(ex.group, self.mean_run)
         self.run_times[ex.group] = mean + LEARN * (run - mean)
         self.mean_run += LEARN * (run - self.mean_run)
         self.best_run = min(self.best_run * 1.001, self.mean_run)
         if ex.work_hint:
             self.hint_ratio += LEARN * (min(10.0, run / ex.work_hint) - self.hint_ratio)
 
+    def _earns_until(self, ex: Exchange) -> int:
+        answered = ex.due - self.margin
+        return answered if ex.group.late_benefit else min(ex.slo_due, answered)
+
     def _makes_it(self, ex: Exchange, wait: float) -> bool:
         """Whether it can be answered while that still earns something, as run times go here now."""
-        group = ex.group
-        until = ex.slo_due if group.late_benefit == 0 else ex.due - self.margin
-        if self.leave_by:
-            until = min(until, self.leave_by)
-        if group.calls and not group.skip_benefit:
+        until = min(self._earns_until(ex), self.leave_by or inf)
+        if ex.group.calls and not ex.group.skip_benefit:
             wait += self._call_wait()
         return self.now + wait + MAKES_IT * ex.work <= until
 
@@ -358,10 +358,9 @@
         short = self.p_a < 0.98 or len(self.held) > self.server.cores
         if not ex.customer or self.server.over_share_benefit >= 0.5 or not short:
             return False
-        parts = [self.customer_rates[each] / max(0.01, each.allowance / self.server.fleet)
-                 for each in self.server.customers]
-        part = self.customer_rates[ex.customer] / max(0.01, ex.customer.allowance / self.server.fleet)
-        fair = OVER_SHARE * max(1.0, min(parts))
+        parts = {each: rate / max(0.01, each.allowance / self.server.fleet)
+                 for each, rate in self.customer_rates.items()}
+        part, fair = parts[ex.customer], OVER_SHARE * max(1.0, min(parts.values()))
         return part > fair and self.chance.random() < 1 - fair / part
 
     def _room(self) -> bool:
@@ -388,10 +387,8 @@
             self._stop(ex)
 
     def _come_back(self) -> int:
-        longest = self.server.come_back_max
-        if self.stalled or self.leave_by:
-            return longest
-        return int(longest * (1 - self.p_a))
+        away = self.stalled or self.leave_by
+        return int(self.server.come_back_max * (1 if away else 1 - self.p_a))
 
     def _stop(self, ex: Exchange) -> None:
         """Work that serves nobody is stopped, unless a repeat may still be answered from it."""
@@ -442,8 +439,7 @@
                 other.repeats = heirs[0]
             self._keep(heirs[0])
         if ex.kept and not heirs:
-            ex.kept = False
-            self.memory -= self.server.key_kb
+            self._key_expired(ex)
             self.out.drop_key(ex)
 
     # The table of keys
@@ -508,9 +504,8 @@
         for ex in list(waiting):
             group = ex.group
             again = not ex.called_unsure or group.effect is Effect.REPEATABLE
-            until = ex.slo_due if group.late_benefit == 0 else ex.due - self.margin
             turn = self.call_time * (1 + waiting.index(ex) / self.call_limit)
-            late = self.now + turn + MAKES_IT / 2 * ex.work > until
+            late = self.now + turn + MAKES_IT / 2 * ex.work > self._earns_until(ex)
             yields = (self.calls_crowded and self.calling >= int(self.call_limit)
                       and group.benefit * (1 - group.skip_benefit) < self.most_lost)
             if again and not late and not (yields and group.skip_benefit > 0):
@@ -530,9 +525,8 @@
                 return
             if 0 < share < 1 and self.now < self.call_ready:
                 return
-            until = ex.due - self.margin
-            if ex.group.late_benefit == 0 and ex.group.effect is Effect.REPEATABLE:
-                until = min(until, ex.slo_due)
+            repeatable = ex.group.effect is Effect.REPEATABLE
+            until = self._earns_until(ex) if repeatable else ex.due - self.margin
             if 0 < share < 1:
                 until = min(until, self.now + int(share * self.server.call_span / 2))
             self.at_calls.remove(ex)
@@ -585,6 +579,15 @@
         self._advise()
         self._give_up_all(with_effects=False)
 
+    def _tend_connections(self) -> None:
+        """Idle connections tax the cores and fill the table until callers find no room. They pay only where
+        callers come back soon: with far more callers than a server sees in seconds, each is closed after its
+        answer. Hurts where opening costs much and the table is large."""
+        close = self.returning < (0.6 if self.closes_idle else 0.4)
+        if close != self.closes_idle:
+            self.closes_idle = close
+            self.out.close_idle(CLOSE_AFTER if close else 0)
+
     def _advise(self) -> None:
         advice = self.server.advice
         away = self.stalled or bool(self.leave_by)
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -153,3 +153,14 @@
     grown = host.whats("advise")[-1]
     host.wait(20_000)
     assert grown > 3 * host.whats("advise")[0] and host.whats("advise")[-1] < grown / 3
+
+
+def test_idle_connections_close_where_callers_seldom_come_back(host):
+    for caller in range(100):  # each of many callers once: its connection would only fill the table
+        host.arrive(caller=caller)
+        host.wait(1000)
+    assert 0 < host.whats("close_idle")[-1] < 10_000
+    for _ in range(100):
+        host.arrive(caller=1)
+        host.wait(1000)
+    assert host.whats("close_idle")[-1] == 0  # as long as callers like
