--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -370,7 +370,7 @@
         """Whether another server would be as short. A marked retry failed elsewhere already; else this server
         must run work as fast as ever and yet have too much: a slow or cold one is short by itself."""
         alone = self._cold() or self.mean_run > SLOW * self.best_run
-        return not self.leave_by and (ex.retry or self.p_a < 0.9 and not alone)
+        return not self.leave_by and (ex.retry or self.p_a < 0.9)
 
     # Giving up: always answered at once, with a time to come back
 
