--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -39,7 +39,6 @@
 CROWDED = 2  # times the quiet call time: beyond what scatter does to a mean of ten
 MAKES_IT = 0.7  # share of the expected run time that must fit: run times scatter widely around their mean
 SILENCE = 9  # expected gaps without progress before work counts as standing still: e^-9 by chance
-SLOW = 1.5  # times the best run time seen: more than scatter does to a mean of twenty runs
 COMMON = 0.25  # part of a caller's tries from which their patience is one of its usual ones
 OVER_SHARE = 1.2  # times its share before a customer counts as over it: routers spread unevenly
 
@@ -73,7 +72,6 @@
         self.run_times: dict[EndpointGroup, float] = {}
         # Until runs were seen: SLO times are set some way above run times.
         self.mean_run = shortest / 4
-        self.best_run = inf
         self.mean_slo = sum(group.slo_time for group in server.groups) / len(server.groups)
         self.hint_ratio = 1.0
         # Where calls are crowded only those who lose most without one still make theirs.
@@ -308,7 +306,6 @@
         mean = self.run_times.get(ex.group, self.mean_run)
         self.run_times[ex.group] = mean + LEARN * (run - mean)
         self.mean_run += LEARN * (run - self.mean_run)
-        self.best_run = min(self.best_run * 1.001, self.mean_run)
         if ex.work_hint:
             self.hint_ratio += LEARN * (min(10.0, run / ex.work_hint) - self.hint_ratio)
 
@@ -367,9 +364,10 @@
         return self.core_use < 0.85 and self.run_queue < self.server.cores
 
     def _fleet_short(self, ex: Exchange) -> bool:
-        """Whether another server would be as short. A marked retry failed elsewhere already; else this server
-        must run work as fast as ever and yet have too much: a slow or cold one is short by itself."""
-        alone = self._cold() or self.mean_run > SLOW * self.best_run
+        """Whether a walk on to other servers costs more than it brings: each server on the way reads it, and in
+        a large fleet the walk is long. So for what failed elsewhere, and wherever the draw denies in earnest,
+        on a slow or cold server too: its part of the walks alone can tip the others. Costs some first tries
+        that a faster server would have served."""
         return not self.leave_by and (ex.retry or self.p_a < 0.9)
 
     # Giving up: always answered at once, with a time to come back
