--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -364,10 +364,9 @@
         return self.core_use < 0.85 and self.run_queue < self.server.cores
 
     def _fleet_short(self, ex: Exchange) -> bool:
-        """Whether a walk on to other servers costs more than it brings: each server on the way reads it, and in
-        a large fleet the walk is long. So for what failed elsewhere, and wherever the draw denies in earnest,
-        on a slow or cold server too: its part of the walks alone can tip the others. Costs some first tries
-        that a faster server would have served."""
+        """Whether a walk on to other servers costs more than it brings: each reads it, and in a large fleet the
+        walk is long. So for what failed elsewhere, and wherever the draw denies in earnest, on a slow or cold
+        server too: its walks alone can tip the others. Costs first tries that a faster one would serve."""
         return not self.leave_by and (ex.retry or self.p_a < 0.9)
 
     # Giving up: always answered at once, with a time to come back
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -145,7 +145,7 @@
     control = host.controller
     control.p_a = 0.0
     assert host.not_elsewhere[host.arrive()] is True
-    control.p_a, control.chance.random = 0.95, lambda: 0.99  # a chance denial of a server that is hardly short
+    control.p_a, control.chance.random = 0.95, lambda: 0.99  # hardly short: a denial by chance
     assert host.not_elsewhere[host.arrive()] is False and host.not_elsewhere[host.arrive(retry=True)] is True
     host.round((control.leave, host.now + 50_000))
     assert host.not_elsewhere[host.arrive(retry=True)] is False
