Calls in hand shrink under one, by rests, while calls are crowded

The limit is now a mean; under one it is kept by resting, down to three tenths of the share. Holds against any slow dependency; may hurt where one is slow by itself and not by its crowd.

--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -36,6 +36,7 @@
 CALL_LEARN = 0.1  # calls slow down within seconds: about the last ten count
 QUIET_LEARN = 0.005  # the quiet level: some two hundred, and hardly any while calls are crowded
 FIRST_CALLS = 20  # enough for a mean within a quarter of the true one
+CALLS_LEAST = 0.3  # of its share: fewer would leave a dependency idle that is slow by itself
 CROWDED = 2  # times the quiet call time: beyond what scatter does to a mean of ten
 MAKES_IT = 0.7  # share of the expected run time that must fit: run times scatter widely around their mean
 SILENCE = 9  # expected gaps without progress before work counts as standing still: e^-9 by chance
@@ -78,7 +79,7 @@
         self.most_lost = max((g.benefit * (1 - g.skip_benefit) for g in server.groups if g.calls), default=0)
         self.patience_seen: dict[tuple, dict[int, float]] = {}  # by caller and group, counted in buckets
         self.call_time, self.quiet_call_time, self.calls_seen = 0.0, 0.0, 0
-        self.call_limit = float(self._call_cap())
+        self.call_limit = self._call_cap()  # mean number in hand
         self.calls_crowded = False
         self.unread_wait = 0.0  # from reaching the machine until read
         self.last_progress = self.last_timer = self.call_ready = now
@@ -364,9 +365,9 @@
         return self.core_use < 0.85 and self.run_queue < self.server.cores
 
     def _fleet_short(self, ex: Exchange) -> bool:
-        """Whether a walk on to other servers costs more than it brings: each reads it, and in a large fleet the
-        walk is long. So for what failed elsewhere, and wherever the draw denies in earnest, on a slow or cold
-        server too: its walks alone can tip the others. Costs first tries that a faster one would serve."""
+        """Whether a walk on to other servers costs more than it brings: each one reads it, and in large fleets
+        the walk is long. So for what failed elsewhere, and wherever the draw denies in earnest, on a slow or
+        cold server too: its walks can tip the others. Costs first tries that a faster one would serve."""
         return not self.leave_by and (ex.retry or self.p_a < 0.9)
 
     # Giving up: always answered at once, with a time to come back
@@ -474,13 +475,17 @@
 
     # Calls to what lies below
 
-    def _call_cap(self) -> int:
-        share = self.server.call_share
-        return max(1, int(share)) if share else 4 * self.server.cores
+    def _call_cap(self) -> float:
+        share = self.server.call_share or 4.0 * self.server.cores
+        return share if share < 1 else float(int(share))
+
+    def _calls_full(self) -> bool:
+        return self.calling >= max(1, int(self.call_limit)) or self.now < self.call_ready
 
     def _learn_call(self, lag: int) -> None:
         """Departure: T leaves call waits out, so a dependency that slows down, for whatever reason, would be
-        fed on. Call times well over their quiet level shrink the calls in hand; one is left to probe."""
+        fed on. Call times well over their quiet level shrink the calls in hand, under one by rests between
+        them: in a large fleet even one on each server is a crowd. Some are left to probe."""
         self.calls_seen += 1  # plain means at first: one odd first call must not set the level
         self.call_time += max(CALL_LEARN, 1 / self.calls_seen) * (lag - self.call_time)
         weight = QUIET_LEARN / 20 if self.calls_crowded else QUIET_LEARN
@@ -488,9 +493,9 @@
         self.quiet_call_time += weight * (lag - self.quiet_call_time)
         self.calls_crowded = self.call_time > CROWDED * self.quiet_call_time
         if self.calls_crowded:
-            self.call_limit = max(1.0, self.call_limit * 0.8)
+            self.call_limit = max(self._call_cap() * CALLS_LEAST, self.call_limit * 0.8)
         else:
-            self.call_limit = min(self._call_cap(), self.call_limit + 0.25)
+            self.call_limit = min(self._call_cap(), self.call_limit + self._call_cap() / 16)
 
     def _make_calls(self) -> None:
         waiting = [ex for ex in self.at_calls if not ex.answered]
@@ -502,8 +507,8 @@
             group = ex.group
             again = not ex.called_unsure or group.effect is Effect.REPEATABLE
             turn = self.call_time * (1 + waiting.index(ex) / self.call_limit)
-            late = self.now + turn + MAKES_IT / 2 * ex.work > self._earns_until(ex)
-            yields = (self.calls_crowded and self.calling >= int(self.call_limit)
+            late = max(self.now, self.call_ready) + turn + MAKES_IT / 2 * ex.work > self._earns_until(ex)
+            yields = (self.calls_crowded and self._calls_full()
                       and group.benefit * (1 - group.skip_benefit) < self.most_lost)
             if again and not late and not (yields and group.skip_benefit > 0):
                 continue
@@ -518,9 +523,7 @@
                 continue
             waiting.remove(ex)
         for ex in waiting:
-            if self.calling >= int(self.call_limit) or self.on_cores + self.calling >= most:
-                return
-            if 0 < share < 1 and self.now < self.call_ready:
+            if self._calls_full() or self.on_cores + self.calling >= most:
                 return
             repeatable = ex.group.effect is Effect.REPEATABLE
             until = self._earns_until(ex) if repeatable else ex.due - self.margin
@@ -536,9 +539,9 @@
             self._at(self.now + self.server.linger, self._call_ended, ex, 0, False)
         else:
             self.calling -= 1
-        if 0 < self.server.call_share < 1:  # one call at a time, then a rest, keeps the mean under the share
+        if self.call_limit < 1:  # one call at a time, then a rest, keeps the mean under the limit
             held = lag + (self.server.linger if lingers else 0)
-            self.call_ready = max(self.call_ready, self.now + int(held / self.server.call_share))
+            self.call_ready = max(self.call_ready, self.now + int(held / self.call_limit))
 
     def _resume(self, ex: Exchange) -> None:
         ex.call_wait += self.now - ex.call_since
