--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -365,8 +365,8 @@
         return self.core_use < 0.85 and self.run_queue < self.server.cores
 
     def _fleet_short(self, ex: Exchange) -> bool:
-        """Whether a walk on to other servers costs more than it brings: each one reads it, and in large fleets
-        the walk is long. So for what failed elsewhere, and wherever the draw denies in earnest, on a slow or
+        """Whether a walk on to other servers costs more than it brings: each one reads it, and large fleets
+        make it long. So for what failed elsewhere, and wherever the draw denies in earnest, on a slow or
         cold server too: its walks can tip the others. Costs first tries that a faster one would serve."""
         return not self.leave_by and (ex.retry or self.p_a < 0.9)
 
