--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -326,12 +326,13 @@
         last one what is left of the async timeout: a patience seldom seen tells the age, and many that look
         fresh are past their SLO time. Misleads where a caller's patience varies without end."""
         patience, timeout = ex.due - ex.arrived, ex.group.async_timeout
-        seen = self.patience_seen.setdefault((ex.caller, ex.group), {})
+        known = ex.caller if self.caller_counts[ex.caller] >= 2 else None  # callers seldom seen are one crowd
+        seen = self.patience_seen.setdefault((known, ex.group), {})
         bucket = 50 * patience // timeout
         seen[bucket] = seen.get(bucket, 0) + 1
         total = sum(seen.values())
         if total > 400:  # what is long past fades
-            self.patience_seen[ex.caller, ex.group] = {each: n / 2 for each, n in seen.items() if n > 1}
+            self.patience_seen[known, ex.group] = {each: n / 2 for each, n in seen.items() if n > 1}
         alike = sum(seen.get(each, 0) for each in (bucket - 1, bucket, bucket + 1))
         return 0 if alike >= COMMON * total else max(0, timeout - patience)
 
