--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -60,11 +60,9 @@
         self.open: dict[Exchange, None] = {}  # unanswered or still using memory, in order of reading
         self.on_cores = 0
         self.calling = 0  # calls in hand, abandoned ones included while they linger
-        self.memory = 0.0
-        self.limit = float(server.cores)
+        self.memory, self.limit = 0.0, float(server.cores)
         # The PI loop.
-        self.p_a = 1.0
-        self.last_e = 0.0
+        self.p_a, self.last_e = 1.0, 0.0
         self.arrivals, self.rate = 0, 0.0  # in this tick; λ, exchanges a second
         self.t_sum = self.t_count = self.slo_sum = 0.0
         self.finished_in_tick, self.core_use, self.run_queue = 0, 0.0, 0.0
@@ -89,8 +87,7 @@
         self.returning = 1.0  # part of the arrivals whose caller came here within the last seconds
         self.closes_idle = self.stalled = False
         # How unlike callers are is unknown at first: a warm server starts generous, a cold one does not.
-        self.level, self.ease = 0.0, 1.0 if server.just_started else EASE_MOST
-        self.said = -1.0
+        self.level, self.said, self.ease = 0.0, -1.0, 1.0 if server.just_started else EASE_MOST
         self.grace_end = self.leave_by = 0  # 0: no notice to leave yet
 
     def round(self, now: int, calls: list[tuple], out: Writer) -> None:
@@ -367,9 +364,10 @@
 
     def _fleet_short(self, ex: Exchange) -> bool:
         """Whether a walk on to other servers costs more than it brings: each one reads it, and large fleets
-        make it long. So for what failed elsewhere, and wherever the draw denies in earnest, on a slow or
-        cold server too: its walks can tip the others. Costs first tries that a faster one would serve."""
-        return not self.leave_by and (ex.retry or self.p_a < 0.9)
+        make it long. So for what failed elsewhere or is too late anywhere, and wherever the draw denies in
+        earnest, on a slow or cold server too: its walks can tip the others. Costs first tries that a faster
+        one would serve."""
+        return not self.leave_by and (ex.retry or self.p_a < 0.9 or not self._makes_it(ex, 0))
 
     # Giving up: always answered at once, with a time to come back
 
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -138,7 +138,11 @@
         host.finish(host.arrive(ttl=ttl))
     late = host.arrive(ttl=18_500)  # of 30,000: its caller has waited for 11,500 of an SLO time of 10,000
     assert host.answers(late) == ["deny"] and len(host.whats("deny")) == 1
+    assert host.not_elsewhere[late] is True  # too late anywhere
     assert not host.answers(host.arrive(ttl=28_000))  # 2,000 old: still in time
+    for caller in range(5, 15):  # of many callers seen once each none is known by itself
+        host.finish(host.arrive(ttl=12_000, caller=caller))
+    assert host.answers(host.arrive(ttl=18_500, caller=20)) == ["deny"]
 
 
 def test_denials_in_earnest_and_what_failed_elsewhere_walk_no_further(host):
