--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -308,8 +308,9 @@
             self.hint_ratio += LEARN * (min(10.0, run / ex.work_hint) - self.hint_ratio)
 
     def _earns_until(self, ex: Exchange) -> int:
-        answered = ex.due - self.margin
-        return answered if ex.group.late_benefit else min(ex.slo_due, answered)
+        """A late answer that earns little is begun only while that keeps nothing else out."""
+        late_too = ex.group.late_benefit and (ex.ran or self._room() or ex.group.late_benefit >= 0.5)
+        return ex.due - self.margin if late_too else min(ex.slo_due, ex.due - self.margin)
 
     def _makes_it(self, ex: Exchange, wait: float) -> bool:
         """Whether it can be answered while that still earns something, as run times go here now."""
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -172,3 +172,12 @@
         host.arrive(caller=1)
         host.wait(1000)
     assert host.whats("close_idle")[-1] == 0  # as long as callers like
+
+
+def test_late_answers_of_little_benefit_are_begun_only_with_free_cores(make_host, group):
+    host = make_host(groups=[group(late_benefit=0.2)])
+    host.wait(1_000, core_use=1.0)
+    busy = host.arrive(arrived=host.now - 9_500)
+    host.wait(1_000, core_use=0.1, run_queue=0.0)
+    free = host.arrive(arrived=host.now - 9_500)
+    assert host.answers(busy) == ["deny"] and host.whats("start") == [free]
