--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -309,7 +309,7 @@
 
     def _earns_until(self, ex: Exchange) -> int:
         """A late answer that earns little is begun only while that keeps nothing else out."""
-        late_too = ex.group.late_benefit and (ex.ran or self._room() or ex.group.late_benefit >= 0.5)
+        late_too = ex.group.late_benefit and (self._room() or ex.group.late_benefit >= 0.5)
         return ex.due - self.margin if late_too else min(ex.slo_due, ex.due - self.margin)
 
     def _makes_it(self, ex: Exchange, wait: float) -> bool:
