--- /dev/null
+++ b/lilacwalk/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Start, the deciding thread, drain, stop."""
--- /dev/null
+++ b/lilacwalk/lifecycle/deciding.py
@@ -0,0 +1,367 @@
+"""The deciding thread: owns the controller and all memory. What the sockets read comes in over one queue."""
+
+from __future__ import annotations
+
+import heapq
+import logging
+from collections.abc import Callable
+from dataclasses import replace
+from itertools import count
+from queue import Empty, SimpleQueue
+
+from lilacwalk.decisions.controller import Controller
+from lilacwalk.decisions.interface import AppServer, Effect, Ending, Exchange
+from lilacwalk.lifecycle.answering import Answering
+from lilacwalk.lifecycle.clock import Clock
+from lilacwalk.lifecycle.limits import Limits, SECOND
+from lilacwalk.memory.hand import Hand, InHand
+from lilacwalk.memory.kept import Kept
+from lilacwalk.wire import kernel, routers
+from lilacwalk.wire.catalog import Catalog
+from lilacwalk.wire.index import IndexLink
+from lilacwalk.wire.kernel import KernelLink
+from lilacwalk.wire.outbox import hang_up, Outbox
+from lilacwalk.wire.routers import Asked, Connection, Door
+
+log = logging.getLogger(__name__)
+
+
+class PartFailedError(Exception):
+    """A part without which this app server cannot go on has failed."""
+
+
+class Deciding:
+    """Each pass drains all that came, gives it to the controller as one round and sends what was decided."""
+
+    def __init__(self, server: AppServer, limits: Limits, clock: Clock, inbox: SimpleQueue, door: Door,
+                 kernel_link: KernelLink, index: IndexLink, catalog: Catalog) -> None:
+        self.server, self.limits, self.clock, self.inbox = server, limits, clock, inbox
+        self.door, self.index, self.catalog = door, index, catalog
+        self.now = clock.now()
+        self.groups = {group.name: group for group in server.groups}
+        self.customers = {customer.name: customer for customer in server.customers}
+        self.connections: dict[Connection, None] = {}
+        self.hand, self.kept = Hand(), Kept(limits.kept, limits.kept_bytes)
+        self.due_times: list[tuple] = []
+        self.order = count()
+        self.calls: list[tuple] = []  # for the controller, of this pass
+        self.controller: Controller | None = None  # until the kernel is up nothing can be decided
+        self.out = Answering(self)
+        self.gauges = (1.0, float(server.cores))  # core use and run queue; full until told
+        self.kernel: Outbox | None = None
+        self.fence, self.fences = "", 0
+        self.kernel_ready = False  # the replay has been read
+        self.stop_at = 0  # 0: no notice to leave yet
+        self.ended = False
+        door.on_opened, door.on_messages, door.on_ended = self._opened, self._messages, self._ended
+        kernel_link.on_linked, kernel_link.on_notices = self._linked, self._notices
+        kernel_link.on_lost = self._lost
+        index.on_replies, index.on_refused, index.on_broken = self._replies, self._refused, self._broken
+
+    def run(self) -> None:
+        self.at(self.now, self._look_around)
+        while not self.ended:
+            self.one_pass()
+
+    def one_pass(self) -> None:
+        items = self._drain()
+        self.now = max(self.now, self.clock.now())
+        for handler, *arguments in items:
+            if handler is None:
+                raise PartFailedError(arguments[0])
+            handler(*arguments)
+        while self.due_times and self.due_times[0][0] <= self.now:
+            _, _, action, *arguments = heapq.heappop(self.due_times)
+            action(*arguments)
+        if self.controller is not None and self.calls:
+            calls, self.calls = self.calls, []
+            self.controller.round(self.now, calls, self.out)
+
+    def _drain(self) -> list[tuple]:
+        wait = max(0, self.due_times[0][0] - self.clock.now()) if self.due_times else SECOND
+        items: list[tuple] = []
+        try:
+            items.append(self.inbox.get(timeout=wait / SECOND))
+            while True:
+                items.append(self.inbox.get_nowait())
+        except Empty:
+            return items
+
+    def at(self, time: int, action: Callable, *arguments) -> None:
+        heapq.heappush(self.due_times, (time, next(self.order), action, *arguments))
+
+    def timer_due(self) -> None:
+        """The controller's own timer. It takes the gauges told last; the next ones are asked for now."""
+        self.calls.append((self.controller.timer, *self.gauges))
+        if self.kernel_ready:
+            self.kernel.put(kernel.gauges("g"))
+
+    def _look_around(self) -> None:
+        """Work that no message starts: the report, idle connections, keys whose time is over."""
+        self.at(self.now + self.limits.look_at_idle, self._look_around)
+        if self.controller is not None and self.now >= self.out.next_report:
+            self.out.next_report = self.now + self.limits.report_every
+            self.catalog.report(self.out.healthy)
+            self.kept.sweep(self.now)
+        self._close_idle()
+        quiet = self.now - self.out.last_call > self.limits.index_idle
+        if quiet and self.index.sock is not None and not any(each.call for each in self.hand.by_id.values()):
+            self.index.rest()
+
+    # Routers
+
+    def _opened(self, connection: Connection) -> None:
+        connection.last_used = self.now
+        self.connections[connection] = None
+        if self.stop_at and self.door.shut_down:
+            self._ask_to_close(connection)
+
+    def _ended(self, connection: Connection) -> None:
+        """Its callers are gone with it."""
+        self.connections.pop(connection, None)
+        for each in list(connection.open.values()):
+            self._gone(each)
+
+    def _messages(self, connection: Connection, messages: list[tuple]) -> None:
+        connection.ahead.release()
+        connection.last_used = self.now
+        for verb, tag, about in messages:
+            if verb == "SUBMIT":
+                self._asked(connection, tag, about)
+            elif verb == "WITHDRAW":
+                if tag in connection.open:
+                    self._gone(connection.open[tag])
+            elif verb == "PROBE":
+                self.out.say(connection, tag, b"healthy" if self.out.healthy else b"sick")
+            elif tag not in connection.open:
+                log.warning("event=bad_message detail=%s", about)
+                self.out.say(connection, tag, b"error")
+
+    def _asked(self, connection: Connection, tag: int, asked: Asked) -> None:
+        if tag in connection.open:  # the one answer that this tag gets is the first one's
+            log.warning("event=bad_message detail=tag_used_twice")
+            return
+        group = self.groups.get(asked.group)
+        customer = self.customers.get(asked.customer)
+        wrong = (
+            "unknown endpoint group" if group is None else
+            "unknown customer" if customer is None and self.customers and asked.customer else
+            "id in use" if asked.id in self.hand.by_id else
+            "too many open" if len(connection.open) >= self.limits.open_exchanges else "")
+        if wrong:
+            log.warning("event=bad_message detail=%s", wrong.replace(" ", "_"))
+            self.out.say(connection, tag, b"error")
+            return
+        arrived = min(asked.arrived + self.clock.ahead, self.now)
+        wait = group.async_timeout if asked.wait is None else asked.wait
+        name, earlier = self._earlier(group, asked)
+        if self.controller is None or len(self.hand) >= self.limits.in_hand or name and self.kept.full:
+            self.out.say(connection, tag, b"later")  # there is no room, or nothing to run it on yet
+            return
+        ex = Exchange(
+            group=group, arrived=arrived, read=self.now, due=max(arrived + wait, self.now),
+            hold_kb=asked.hold_kb, customer=customer, work_hint=asked.work_hint, retry=asked.retry,
+            caller=asked.caller, repeats=earlier)
+        each = InHand(ex, asked.id, tag, connection, asked.group, bytes(asked.body), name)
+        self.hand.take(each)
+        if name and group.effect is Effect.REPEATABLE and earlier is None:
+            self.kept.enter(name, ex, None)
+        self.calls.append((self.controller.arrive, ex))
+
+    def _earlier(self, group, asked: Asked) -> tuple[tuple | None, Exchange | None]:
+        """The name under which a repeat of it would be known, and the exchange that it repeats itself."""
+        if group.effect is Effect.DEDUPLICATED and group.window and asked.key:
+            name = (group.name, asked.customer, "key", asked.key)
+        elif group.effect is Effect.REPEATABLE and self.limits.fresh and asked.subject:
+            name = (group.name, asked.customer, "subject", asked.subject)
+        else:
+            return None, None
+        entry = self.kept.find(name, self.now)
+        return name, entry.ex if entry is not None else None
+
+    def _gone(self, each: InHand) -> None:
+        self.hand.settled(each)
+        self.calls.append((self.controller.gone, each.ex))
+        if not each.ex.ran:  # nothing more will be heard of it
+            self.forget(each, None)
+
+    def _close_idle(self) -> None:
+        """Those that the controller wants closed, and the longest idle where no other would find room."""
+        now, crowded = self.now, len(self.connections) >= self.limits.connections
+        after = self.out.close_idle_after or self.limits.routers_idle
+        idle = [each for each in self.connections if not each.open]
+        for each in idle:
+            if each.closing_since:
+                if now - each.closing_since > self.limits.closing:
+                    hang_up(each.sock)
+            elif now - each.last_used > after:
+                self._ask_to_close(each)
+        if crowded and idle:
+            self._ask_to_close(min(idle, key=lambda each: each.last_used))
+
+    def _ask_to_close(self, connection: Connection) -> None:
+        if not connection.closing_since:
+            connection.closing_since = self.now
+            self.out.send(connection, routers.CLOSING)
+
+    # The kernel
+
+    def _linked(self, outbox: Outbox, opening: bytes) -> None:
+        self.kernel, self.kernel_ready, self.fence = outbox, False, ""
+        outbox.put(opening)
+
+    def _lost(self, outbox: Outbox) -> None:
+        if self.kernel is outbox:
+            log.warning("event=kernel_link_lost in_hand=%d", len(self.hand))
+            self.kernel, self.kernel_ready = None, False
+
+    def _notices(self, outbox: Outbox, notices: list[tuple]) -> None:
+        for what, notice, *details in notices:
+            if what == "ended":
+                self._run_ended(*details)
+            elif what == "asks":
+                self._asks(notice, *details)
+            elif outbox is not self.kernel:
+                continue  # of a link that is lost: only runs and calls count
+            elif what == "gauges":
+                self._told_gauges(*details)
+            elif what == "booted":
+                self._booted(*details)
+            elif what == "rejected":
+                self._rejected(*details)
+
+    def _booted(self, cold: bool, age: int) -> None:
+        """Also the start of a replay: a fence behind it tells when all of that has been read."""
+        if self.controller is None:
+            log.info("event=kernel_up cold=%s age_ms=%d", cold, age // 10)
+            self.controller = Controller(replace(self.server, just_started=cold), self.now - age)
+            self.calls.append((self.controller.begin,))
+            if self.stop_at:
+                self.calls.append((self.controller.leave, self.stop_at - self.limits.flush))
+        self.fences += 1
+        self.fence = f"fence{self.fences}"
+        self.kernel.put(kernel.gauges(self.fence))
+
+    def _told_gauges(self, tag: str, values: dict[str, float]) -> None:
+        self.gauges = values.get("core_use", 1.0), values.get("on_cores", float(self.server.cores))
+        if tag == self.fence and not self.kernel_ready:
+            self.kernel_ready, self.fence = True, ""
+            again = [command for each in self.hand.by_id.values() for command in each.unsure]
+            if again:
+                log.info("event=commands_sent_again count=%d", len(again))
+            for command in again:
+                self.kernel.put(command)
+
+    def _run_ended(self, ident: str, ending: Ending, result: memoryview | bytes) -> None:
+        each = self.hand.by_id.get(ident)
+        if each is None:
+            return
+        each.unsure.clear()
+        if each.call is not None:
+            self.index.give_up(each.call)
+            each.call = None
+        if ending is Ending.OK:
+            self.out.answer(each, b"done", result)
+        else:
+            self.out.answer(each, b"error")
+        self.calls.append((self.controller.finished, each.ex, ending))
+        self.forget(each, bytes(result) if ending is Ending.OK and each.kept_as else None)
+
+    def _asks(self, notice: int, ident: str, body: memoryview | bytes) -> None:
+        each = self.hand.by_id.get(ident)
+        if each is None:
+            return
+        each.unsure.clear()
+        each.call_notice, each.call_body = notice, bytes(body)
+        self.calls.append((self.controller.at_call, each.ex))
+
+    def _rejected(self, command: str, ident: str) -> None:
+        """The run of a command that was not carried out may hang: it is answered, and its run given up."""
+        log.error("event=command_rejected command=%s id=%s", command, ident)
+        each = self.hand.by_id.get(ident)
+        if each is not None and command in ("SCHED", "IODONE", "NOIO"):
+            self.out.answer(each, b"error")
+            self.calls.append((self.controller.finished, each.ex, Ending.MOOT))
+            self.forget(each, None)
+
+    def forget(self, each: InHand, result: bytes | None) -> None:
+        """Its run is over, or there was none. What waited for its result is answered from it."""
+        self.hand.drop(each)
+        if each.kept_as is None:
+            return
+        if each.ex.ran or result is not None:
+            self.kept.ended(each.kept_as, each.ex, result)
+            if each.ex.group.effect is Effect.REPEATABLE:
+                if result is None:
+                    self.kept.drop(each.kept_as, each.ex)
+                else:
+                    self.kept.enter(each.kept_as, each.ex, self.now + self.limits.fresh)
+            for other in [other for other in self.hand.by_id.values() if other.waits_for is each.ex]:
+                self.out.answer_joined(other, result)
+        else:
+            self.kept.drop(each.kept_as, each.ex)
+
+    # The index
+
+    def _replies(self, sock, replies: list[tuple]) -> None:
+        self.out.last_call = self.now
+        for ident, ending, body in replies:
+            each = self.hand.by_id.get(ident)
+            if each is None or each.call is None or each.call.connection is not sock:
+                continue
+            if ending is Ending.OK and each.connection is not None:
+                self.out.command(each, kernel.reply(ident, bytes(body)))
+            self._call_over(each, ending)
+
+    def _refused(self, refused: list) -> None:
+        for call in refused:
+            each = self.hand.by_id.get(call.ident)
+            if each is not None and each.call is call:
+                self._call_over(each, Ending.UNREACHABLE)
+
+    def _broken(self, sock) -> None:
+        for each in list(self.hand.by_id.values()):
+            if each.call is not None and each.call.connection is sock:
+                self._call_over(each, Ending.BROKEN_OFF)
+
+    def call_timed_out(self, each: InHand, call) -> None:
+        if each.call is call:
+            never_ran = self.index.give_up(call)
+            self._call_over(each, Ending.UNREACHABLE if never_ran else Ending.ABANDONED)
+
+    def _call_over(self, each: InHand, ending: Ending) -> None:
+        each.call = None
+        self.calls.append((self.controller.called, each.ex, ending, self.now - each.call_since))
+
+    # Leaving
+
+    def leave(self) -> None:
+        """SIGTERM. The drain is the controller's; a second notice changes nothing."""
+        if self.stop_at:
+            return
+        self.stop_at = self.now + self.limits.stop
+        log.info("event=leaving in_hand=%d connections=%d", len(self.hand), len(self.connections))
+        if self.controller is not None:
+            self.calls.append((self.controller.leave, self.stop_at - self.limits.flush))
+        grace_over = self.now + self.server.drain_grace + self.limits.look_at_idle
+        self.at(min(grace_over, self.stop_at - self.limits.flush), self._shut_the_door)
+
+    def _shut_the_door(self) -> None:
+        """From here on nothing new would be run: a refused connection says so for less than a denial."""
+        self.door.shut()
+        for connection in self.connections:
+            self._ask_to_close(connection)
+        self._see_to_the_end()
+
+    def _see_to_the_end(self) -> None:
+        """Ends once all routers have closed, or when the time is nearly up and all is answered and sent."""
+        late = self.now >= self.stop_at - self.limits.flush // 2
+        if late:
+            for each in list(self.hand.by_id.values()):
+                self.out.answer(each, b"error")
+        flushed = all(connection.outbox.flushed for connection in self.connections)
+        if not self.connections or late and flushed or self.now >= self.stop_at - self.limits.flush // 4:
+            log.info("event=stopped connections=%d flushed=%s", len(self.connections), flushed)
+            self.ended = True
+        else:
+            self.at(self.now + SECOND // 100, self._see_to_the_end)
--- /dev/null
+++ b/lilacwalk/lifecycle/limits.py
@@ -0,0 +1,60 @@
+"""Sizes, counts and times of one app server's sockets and memory. Filled at start, handed down."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from lilacwalk.handover import early, HandoverError, late, number, section, whole
+
+SECOND = 10_000  # tenths of a ms, as all times here
+SPARE_SOCKETS = 64  # descriptors for all that is no router: links, the listener, logs, the interpreter
+
+
+@dataclass(frozen=True)
+class Limits:
+    # Given.
+    connections: int  # routers open half the descriptor limit at most; some more while others end
+    stop: int  # from the notice to leave until the process is killed
+    fresh: int  # how long a read's result may answer others; 0: never
+    routers_idle: int  # routers drop their own idle connections after this
+    # Routers.
+    open_exchanges: int = 32  # on one connection, as the protocol says
+    body: int = 2_048
+    parts: int = 8  # of one message: five are in use, a few more may come with a later protocol
+    part: int = 16_384  # a longer part is skipped, not stored
+    skipped: int = 1_048_576  # a part beyond this ends the connection
+    read: int = 16_384  # bytes taken from a socket at once
+    chunks_ahead: int = 2  # read from one connection and not yet decided on
+    outbox: int = 163_840  # 32 results of 4 KiB with their fields; a router that lets more stand is cut off
+    backlog: int = 128  # connections not yet accepted
+    # Kernel and index: their messages are longer than the routers' by a few words.
+    line: int = 512
+    reply: int = 1_048_576
+    link_outbox: int = 8_388_608  # a party on the same machine that leaves this much unread is gone
+    relink_least: int = SECOND // 50  # a lost link is tried again soon,
+    relink_most: int = SECOND  # and then ever less often
+    index_idle: int = 8 * SECOND  # the other side closes after ten seconds
+    connect: int = SECOND // 4  # on one machine connections open at once or not at all
+    # In hand and kept.
+    in_hand: int = 8_192  # with bodies of 2 KiB some 30 MB
+    kept: int = 16_384
+    kept_bytes: int = 16_777_216
+    # Times.
+    report_every: int = 9 * SECOND // 10  # listed for 3 s after a report: stays so with two of them lost
+    look_at_idle: int = SECOND // 20  # a fifth of the shortest idle time that is asked for in practice
+    flush: int = 3 * SECOND // 10  # kept back from the time to leave, for answers on their way
+    closing: int = 2 * SECOND  # how long a router may take to close what it was asked to
+
+    @classmethod
+    def given(cls, handed: dict) -> Limits:
+        settings, limits = section(handed, "settings"), section(handed, "limits")
+        info = section(settings, "family_info")
+        sockets = whole(limits, "sockets", 1024)
+        if sockets < 4 * SPARE_SOCKETS:
+            raise HandoverError(f"sockets={sockets} leaves no room for routers")
+        return cls(
+            connections=sockets // 2 + SPARE_SOCKETS,
+            stop=early(number(handed, "stop_ms", 3000.0)),
+            fresh=early(number(info, "fresh_ms", 0.0)),
+            routers_idle=late(number(info, "caller_idle_ms", 30_000.0)),
+        )
--- /dev/null
+++ b/lilacwalk/lifecycle/log.py
@@ -0,0 +1,26 @@
+"""Log lines as key=value pairs on standard error."""
+
+from __future__ import annotations
+
+import logging
+import sys
+import time
+
+
+class KeyValue(logging.Formatter):
+    """`time=… level=… thread=… event=…`: one line each, an exception's trace folded into it."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+        line = (f"time={stamp}.{int(record.msecs):03d}Z level={record.levelname.lower()} "
+                f"part={record.name.removeprefix('lilacwalk.')} {record.getMessage()}")
+        if record.exc_info:
+            line += f" trace={self.formatException(record.exc_info)!r}"
+        return line.replace("\n", " ")
+
+
+def start_logging(level: int) -> None:
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(KeyValue())
+    logging.basicConfig(level=level, handlers=[handler])
+    logging.raiseExceptions = False  # a closed standard error is no reason to write to it once more
--- /dev/null
+++ b/lilacwalk/memory/__init__.py
@@ -0,0 +1,1 @@
+"""What is kept in memory: exchanges in hand, keys and results."""
--- /dev/null
+++ b/lilacwalk/memory/kept.py
@@ -0,0 +1,64 @@
+"""Keys and results that are kept so that a repeat is known and answered: bounded by count, bytes and time."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from lilacwalk.decisions.interface import Exchange
+
+
+@dataclass(eq=False, slots=True)
+class Entry:
+    ex: Exchange
+    until: int | None  # None: while the exchange is open
+    result: bytes | None = None
+    over: bool = False
+
+
+class Kept:
+    def __init__(self, count: int, size: int) -> None:
+        self.most, self.most_bytes = count, size
+        self.entries: dict[tuple, Entry] = {}  # in the order of entering
+        self.bytes = 0
+
+    @property
+    def full(self) -> bool:
+        return len(self.entries) >= self.most
+
+    def find(self, name: tuple, now: int) -> Entry | None:
+        entry = self.entries.get(name)
+        if entry is not None and entry.until is not None and entry.until <= now:
+            self.drop(name, entry.ex)
+            return None
+        return entry
+
+    def enter(self, name: tuple, ex: Exchange, until: int | None) -> None:
+        """A newer one takes the place of what stood under the name."""
+        old = self.entries.get(name)
+        if old is not None and old.ex is ex:
+            old.until = until
+            return
+        if old is not None:
+            self.drop(name, old.ex)
+        self.entries[name] = Entry(ex, until)
+
+    def ended(self, name: tuple, ex: Exchange, result: bytes | None) -> None:
+        """A result that finds no room is not kept; its key is, so that no repeat of it runs."""
+        entry = self.entries.get(name)
+        if entry is None or entry.ex is not ex:
+            return
+        entry.over = True
+        if result is not None and self.bytes + len(result) <= self.most_bytes:
+            entry.result = result
+            self.bytes += len(result)
+
+    def drop(self, name: tuple, ex: Exchange) -> None:
+        entry = self.entries.get(name)
+        if entry is not None and entry.ex is ex:
+            del self.entries[name]
+            self.bytes -= len(entry.result or b"")
+
+    def sweep(self, now: int) -> None:
+        for name, entry in list(self.entries.items()):
+            if entry.until is not None and entry.until <= now:
+                self.drop(name, entry.ex)
--- /dev/null
+++ b/lilacwalk/wire/__init__.py
@@ -0,0 +1,1 @@
+"""What is spoken on the wire, one file a party."""
--- /dev/null
+++ b/lilacwalk/wire/catalog.py
@@ -0,0 +1,21 @@
+"""The catalog: reports of being alive, one datagram each, without answers."""
+
+from __future__ import annotations
+
+import logging
+import socket
+
+log = logging.getLogger(__name__)
+
+
+class Catalog:
+    def __init__(self, address: tuple[str, int], name: str) -> None:
+        self.address, self.name = address, name
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setblocking(False)  # a full buffer loses the report, never holds up who reports
+
+    def report(self, good: bool) -> None:
+        try:
+            self.sock.sendto(f"alive {self.name} {'passing' if good else 'critical'}".encode(), self.address)
+        except OSError as error:
+            log.debug("event=report_lost detail=%s", error)
--- /dev/null
+++ b/lilacwalk/wire/resp.py
@@ -0,0 +1,79 @@
+"""RESP arrays of bulk strings: an incremental parser and an encoder."""
+
+from __future__ import annotations
+
+
+class FrameError(Exception):
+    """The bytes are no message; what follows cannot be read any more."""
+
+
+class Parser:
+    """Takes chunks as they were read, cut anywhere. Parts are slices of those chunks; copy what must outlive
+    them. A part over the limit is skipped and stands as None."""
+
+    def __init__(self, parts: int, part: int, skipped: int) -> None:
+        self.most_parts, self.most, self.most_skipped = parts, part, skipped
+        self.rest = b""
+        self.parts: list[memoryview | None] = []
+        self.missing = 0  # parts still to come of the message begun
+        self.size = -1  # of the part begun; -1: its length is not read yet
+        self.to_skip = 0
+
+    def feed(self, chunk: bytes) -> list[list[memoryview | None]]:
+        data = self.rest + chunk if self.rest else chunk
+        view, at, messages = memoryview(data), 0, []
+        while True:
+            if self.to_skip:
+                step = min(self.to_skip, len(data) - at)
+                at += step
+                self.to_skip -= step
+                if self.to_skip:
+                    break
+                self.parts.append(None)
+            elif self.size < 0:
+                end = data.find(b"\r\n", at, at + 16)
+                if end < 0:
+                    if len(data) - at >= 16:
+                        raise FrameError("a length has no end")
+                    break
+                self._length(data[at:end])
+                at = end + 2
+                continue
+            else:
+                end = at + self.size
+                if len(data) < end + 2:
+                    break
+                if data[end:end + 2] != b"\r\n":
+                    raise FrameError("a part is longer than it says")
+                self.parts.append(view[at:end])
+                self.size = -1
+                at = end + 2
+            self.missing -= 1
+            if not self.missing:
+                messages.append(self.parts)
+                self.parts = []
+        self.rest = data[at:]
+        return messages
+
+    def _length(self, line: bytes) -> None:
+        mark, digits = line[:1], line[1:]
+        if mark != (b"$" if self.missing else b"*") or not digits.isdigit():
+            raise FrameError(f"{line[:16]!r} is no length")
+        number = int(digits)
+        if not self.missing:
+            if not 1 <= number <= self.most_parts:
+                raise FrameError(f"an array of {number}")
+            self.missing = number
+        elif number > self.most_skipped:
+            raise FrameError(f"a part of {number} bytes")
+        elif number > self.most:
+            self.to_skip = number + 2
+        else:
+            self.size = number
+
+
+def encode(*parts: bytes) -> bytes:
+    pieces = [b"*%d\r\n" % len(parts)]
+    for part in parts:
+        pieces.append(b"$%d\r\n%b\r\n" % (len(part), part))
+    return b"".join(pieces)
--- /dev/null
+++ b/lilacwalk/wire/routers.py
@@ -0,0 +1,220 @@
+"""Routers: the port they connect to, their connections, the words spoken there."""
+
+from __future__ import annotations
+
+import logging
+import math
+import socket
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from queue import SimpleQueue
+
+from lilacwalk.handover import early, late
+from lilacwalk.lifecycle.limits import Limits
+from lilacwalk.wire.outbox import hang_up, Outbox
+from lilacwalk.wire.resp import encode, FrameError, Parser
+
+log = logging.getLogger(__name__)
+LONGEST_WAIT_MS = 3_600_000.0  # numbers beyond an hour are no times that a caller waits
+
+
+class BadMessageError(Exception):
+    """Well framed, yet not to be understood."""
+
+
+@dataclass(slots=True)
+class Asked:
+    """One exchange as its router states it, in tenths of a ms of the Unix clock."""
+
+    id: str
+    group: str
+    customer: str
+    caller: int
+    arrived: int
+    wait: int | None  # None: not told
+    work_hint: int
+    hold_kb: float
+    retry: bool
+    subject: str
+    key: str
+    body: memoryview
+
+
+def number(fields: dict[str, str], name: str, least: float, most: float,
+           default: float | None = None) -> float:
+    text = fields.get(name)
+    if text is None and default is not None:
+        return default
+    try:
+        value = float(text)  # type: ignore[arg-type]
+    except (TypeError, ValueError):
+        raise BadMessageError(f"{name} is no number") from None
+    if not (math.isfinite(value) and least <= value <= most):
+        raise BadMessageError(f"{name} is out of range")
+    return value
+
+
+def asked(parts: list[memoryview | None], most: int) -> Asked:
+    if len(parts) not in (4, 5):
+        raise BadMessageError("SUBMIT has other parts than it should")
+    body = parts[4] if len(parts) == 5 else memoryview(b"")
+    if parts[2] is None or parts[3] is None or body is None or len(body) > most:
+        raise BadMessageError("a part is too long")
+    fields: dict[str, str] = {}
+    for field in str(parts[3], "utf-8", "replace").split(","):
+        name, _, value = field.partition("=")
+        fields[name] = value
+    ident = fields.get("i", "")
+    if len(ident) != 16 or not all(digit in "0123456789abcdef" for digit in ident):
+        raise BadMessageError("i is not 16 hex digits")
+    return Asked(
+        id=ident,
+        group=str(parts[2], "utf-8", "replace"),
+        customer=fields.get("t", ""),
+        caller=int(number(fields, "f", 0, 2**53, 0)),
+        arrived=late(number(fields, "s", 0, 1e14)),
+        wait=early(number(fields, "d", -LONGEST_WAIT_MS, LONGEST_WAIT_MS)) if "d" in fields else None,
+        work_hint=late(number(fields, "h", 0, LONGEST_WAIT_MS, 0.0)),
+        hold_kb=number(fields, "m", 0.0, 1e6),
+        retry=fields.get("r") in ("1", "true"),
+        subject=fields.get("o", ""),
+        key=fields.get("k", ""),
+        body=body,
+    )
+
+
+def answer(tag: int, word: bytes, said: str, body: bytes | memoryview = b"", come_back: int = 0,
+           not_elsewhere: bool = False) -> bytes:
+    fields = [said] if said else []
+    if come_back > 0:
+        fields.append(f"w={come_back / 10:.1f}")
+    if not_elsewhere:
+        fields.append("l=1")
+    parts = [b"%d" % tag, word, ",".join(fields).encode()]
+    return encode(*parts, body) if body else encode(*parts)
+
+
+def said(value: float | None) -> str:
+    """The free value as a field."""
+    return "" if value is None else f"v={value:.4f}"
+
+
+CLOSING = encode(b"0", b"closing")
+
+
+class Connection:
+    """One router's connection. A thread reads it; what was read goes onto the deciding thread's queue in
+    batches, a few at a time, so that a router that floods waits for itself."""
+
+    def __init__(self, sock: socket.socket, limits: Limits, inbox: SimpleQueue, door: Door) -> None:
+        self.sock, self.limits, self.inbox, self.door = sock, limits, inbox, door
+        self.outbox = Outbox(sock, limits.outbox, "router")
+        self.ahead = threading.Semaphore(limits.chunks_ahead)
+        # The deciding thread's own.
+        self.open: dict = {}  # exchanges in hand by tag
+        self.last_used = 0
+        self.closing_since = 0  # 0: not asked to close
+
+    def start(self) -> None:
+        threading.Thread(target=self._run, name="router-reader", daemon=True).start()
+
+    def _run(self) -> None:
+        try:
+            self._read()
+        except FrameError as error:
+            log.warning("event=connection_ended reason=framing detail=%s", str(error))
+        except OSError:
+            pass  # a reset is the router's right
+        except Exception:
+            log.exception("event=thread_failed thread=router-reader")
+        finally:
+            self.outbox.end()
+            self.sock.close()
+            self.inbox.put((self.door.on_ended, self))
+            self.door.left()
+
+    def _read(self) -> None:
+        limits = self.limits
+        parser = Parser(limits.parts, limits.part, limits.skipped)
+        while chunk := self.sock.recv(limits.read):
+            messages = parser.feed(chunk)
+            if messages:
+                self.ahead.acquire()
+                self.inbox.put((self.door.on_messages, self, [self._decode(parts) for parts in messages]))
+
+    def _decode(self, parts: list[memoryview | None]) -> tuple:
+        """(verb, tag, what it is about); a verb that is empty stands for a message to be answered `error`."""
+        tag = bytes(parts[1]) if len(parts) > 1 and parts[1] is not None else b""
+        if not tag.isdigit() or len(tag) > 18 or int(tag) < 1:
+            raise FrameError("a message without a tag")
+        verb = bytes(parts[0]) if parts[0] is not None else b""
+        try:
+            if verb == b"SUBMIT":
+                return "SUBMIT", int(tag), asked(parts, self.limits.body)
+            if verb in (b"WITHDRAW", b"PROBE"):
+                return verb.decode(), int(tag), None
+            raise BadMessageError("unknown verb")
+        except BadMessageError as error:
+            return "", int(tag), str(error)
+
+
+class Door:
+    """Accepts connections, as many as the limits allow; the others wait in the system's own line."""
+
+    def __init__(self, address: tuple[str, int], limits: Limits, inbox: SimpleQueue) -> None:
+        self.limits, self.inbox = limits, inbox
+        self.on_opened: Callable
+        self.on_messages: Callable
+        self.on_ended: Callable
+        self.room = threading.Semaphore(limits.connections)
+        self.shut_down = False
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind(address)
+        self.sock.listen(limits.backlog)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return self.sock.getsockname()
+
+    def start(self) -> None:
+        threading.Thread(target=self._run, name="door", daemon=True).start()
+
+    def left(self) -> None:
+        self.room.release()
+
+    def shut(self) -> None:
+        self.shut_down = True
+        hang_up(self.sock)
+
+    def _run(self) -> None:
+        try:
+            while not self.shut_down:
+                self.room.acquire()
+                try:
+                    sock, _ = self.sock.accept()
+                except OSError as error:
+                    self.room.release()
+                    if not self.shut_down:
+                        log.warning("event=accept_failed detail=%s", error)
+                        threading.Event().wait(0.05)  # out of descriptors: not a busy loop
+                    continue
+                self._take(sock)
+        except Exception:
+            log.exception("event=thread_failed thread=door")
+            self.inbox.put((None, "the door failed"))
+        finally:
+            self.sock.close()
+
+    def _take(self, sock: socket.socket) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = Connection(sock, self.limits, self.inbox, self)
+        self.inbox.put((self.on_opened, connection))
+        try:
+            connection.start()
+        except RuntimeError as error:  # no thread to be had: that one connection is not served
+            log.warning("event=connection_ended reason=no_thread detail=%s", error)
+            sock.close()
+            self.inbox.put((self.on_ended, connection))
+            self.left()
