--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -234,7 +234,8 @@
         """Also the start of a replay: a fence behind it tells when all of that has been read."""
         if self.controller is None:
             log.info("event=kernel_up cold=%s age_ms=%d", cold, age // 10)
-            self.controller = Controller(replace(self.server, just_started=cold), self.now - (age if cold else 0))
+            began = self.now - (age if cold else 0)
+            self.controller = Controller(replace(self.server, just_started=cold), began)
             self.calls.append((self.controller.begin,))
             if self.stop_at:
                 self.calls.append((self.controller.leave, self.stop_at - self.limits.flush))
