Tests of the app server on loopback with stand-ins; defects they found mended

Stand-ins of router, kernel, index and catalog stand in tests/conftest.py, on ports that the system chooses; parsers are tried at every split point. Bad messages are logged once a connection; system buffers of router connections are bounded.

--- a/lilacwalk/lifecycle/answering.py
+++ b/lilacwalk/lifecycle/answering.py
@@ -31,9 +31,9 @@
 
     def send(self, connection: Connection, data: bytes) -> None:
         """A router that has stopped reading is cut off, before what it leaves unread fills the memory."""
-        if not connection.outbox.put(data):
+        if not connection.cut and not connection.outbox.put(data):
             log.warning("event=connection_ended reason=stopped_reading")
-            hang_up(connection.sock)
+            connection.cut_off()
 
     def say(self, connection: Connection, tag: int, word: bytes) -> None:
         self.send(connection, routers.answer(tag, word, routers.said(self.value)))
@@ -58,8 +58,8 @@
     def command(self, each: InHand, command: bytes) -> None:
         """Kept until a notice proves that it came through, and sent later where there is no link."""
         each.unsure.append(command)
-        if self.host.kernel_ready:
-            self.host.kernel.put(command)
+        if self.host.kernel_ready and not self.host.kernel.put(command):
+            hang_up(self.host.kernel.sock)  # nothing reads there: a new link begins with what is unsure
 
     # The controller's decisions
 
--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -20,7 +20,7 @@
 from lilacwalk.wire.catalog import Catalog
 from lilacwalk.wire.index import IndexLink
 from lilacwalk.wire.kernel import KernelLink
-from lilacwalk.wire.outbox import hang_up, Outbox
+from lilacwalk.wire.outbox import Outbox
 from lilacwalk.wire.routers import Asked, Connection, Door
 
 log = logging.getLogger(__name__)
@@ -79,6 +79,8 @@
 
     def _drain(self) -> list[tuple]:
         wait = max(0, self.due_times[0][0] - self.clock.now()) if self.due_times else SECOND
+        if self.calls:  # a round left something to tell the controller
+            wait = 0
         items: list[tuple] = []
         try:
             items.append(self.inbox.get(timeout=wait / SECOND))
@@ -124,6 +126,8 @@
 
     def _messages(self, connection: Connection, messages: list[tuple]) -> None:
         connection.ahead.release()
+        if connection.cut:
+            return
         connection.last_used = self.now
         for verb, tag, about in messages:
             if verb == "SUBMIT":
@@ -134,12 +138,11 @@
             elif verb == "PROBE":
                 self.out.say(connection, tag, b"healthy" if self.out.healthy else b"sick")
             elif tag not in connection.open:
-                log.warning("event=bad_message detail=%s", about)
-                self.out.say(connection, tag, b"error")
+                self._bad(connection, tag, about)
 
     def _asked(self, connection: Connection, tag: int, asked: Asked) -> None:
-        if tag in connection.open:  # the one answer that this tag gets is the first one's
-            log.warning("event=bad_message detail=tag_used_twice")
+        if tag in connection.open:
+            self._bad(connection, 0, "tag used twice")  # the one answer that it gets is the first one's
             return
         group = self.groups.get(asked.group)
         customer = self.customers.get(asked.customer)
@@ -149,8 +152,7 @@
             "id in use" if asked.id in self.hand.by_id else
             "too many open" if len(connection.open) >= self.limits.open_exchanges else "")
         if wrong:
-            log.warning("event=bad_message detail=%s", wrong.replace(" ", "_"))
-            self.out.say(connection, tag, b"error")
+            self._bad(connection, tag, wrong)
             return
         arrived = min(asked.arrived + self.clock.ahead, self.now)
         wait = group.async_timeout if asked.wait is None else asked.wait
@@ -168,6 +170,14 @@
             self.kept.enter(name, ex, None)
         self.calls.append((self.controller.arrive, ex))
 
+    def _bad(self, connection: Connection, tag: int, reason: str) -> None:
+        """Answered on its tag; told once a connection, or one that sends much of it fills the log."""
+        if not connection.complained:
+            connection.complained = True
+            log.warning("event=bad_message reason=%s", reason.replace(" ", "_"))
+        if tag:
+            self.out.say(connection, tag, b"error")
+
     def _earlier(self, group, asked: Asked) -> tuple[tuple | None, Exchange | None]:
         """The name under which a repeat of it would be known, and the exchange that it repeats itself."""
         if group.effect is Effect.DEDUPLICATED and group.window and asked.key:
@@ -186,18 +196,21 @@
             self.forget(each, None)
 
     def _close_idle(self) -> None:
-        """Those that the controller wants closed, and the longest idle where no other would find room."""
-        now, crowded = self.now, len(self.connections) >= self.limits.connections
+        """Those that the controller wants closed; and where a flood fills the table, the longest idle go at
+        once, so that who has something to ask finds room."""
+        now = self.now
         after = self.out.close_idle_after or self.limits.routers_idle
         idle = [each for each in self.connections if not each.open]
         for each in idle:
             if each.closing_since:
                 if now - each.closing_since > self.limits.closing:
-                    hang_up(each.sock)
+                    each.cut_off()
             elif now - each.last_used > after:
                 self._ask_to_close(each)
-        if crowded and idle:
-            self._ask_to_close(min(idle, key=lambda each: each.last_used))
+        too_many = len(self.connections) - self.limits.crowded
+        if too_many > 0:
+            for each in sorted(idle, key=lambda each: each.last_used)[:too_many]:
+                each.cut_off()
 
     def _ask_to_close(self, connection: Connection) -> None:
         if not connection.closing_since:
@@ -349,7 +362,7 @@
 
     def _shut_the_door(self) -> None:
         """From here on nothing new would be run: a refused connection says so for less than a denial."""
-        self.door.shut()
+        self.door.end()
         for connection in self.connections:
             self._ask_to_close(connection)
         self._see_to_the_end()
--- a/lilacwalk/lifecycle/limits.py
+++ b/lilacwalk/lifecycle/limits.py
@@ -14,6 +14,7 @@
 class Limits:
     # Given.
     connections: int  # routers open half the descriptor limit at most; some more while others end
+    crowded: int  # from here on the longest idle are closed, so that some room is left at all times
     stop: int  # from the notice to leave until the process is killed
     fresh: int  # how long a read's result may answer others; 0: never
     routers_idle: int  # routers drop their own idle connections after this
@@ -25,6 +26,7 @@
     skipped: int = 1_048_576  # a part beyond this ends the connection
     read: int = 16_384  # bytes taken from a socket at once
     chunks_ahead: int = 2  # read from one connection and not yet decided on
+    buffer: int = 65_536  # of the system, each way: 32 open exchanges; it counts as memory too
     outbox: int = 163_840  # 32 results of 4 KiB with their fields; a router that lets more stand is cut off
     backlog: int = 128  # connections not yet accepted
     # Kernel and index: their messages are longer than the routers' by a few words.
@@ -54,6 +56,7 @@
             raise HandoverError(f"sockets={sockets} leaves no room for routers")
         return cls(
             connections=sockets // 2 + SPARE_SOCKETS,
+            crowded=sockets // 2 + SPARE_SOCKETS // 2,
             stop=early(number(handed, "stop_ms", 3000.0)),
             fresh=early(number(info, "fresh_ms", 0.0)),
             routers_idle=late(number(info, "caller_idle_ms", 30_000.0)),
--- a/lilacwalk/lifecycle/serve.py
+++ b/lilacwalk/lifecycle/serve.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import threading
+from dataclasses import replace
 from queue import SimpleQueue
 
 from lilacwalk.handover import app_server, HandoverError, row, section
@@ -55,8 +56,10 @@
         raise CannotStartError(f"configuration: {error}") from None
 
 
-def build(handed: dict, inbox: SimpleQueue) -> tuple[Deciding, list]:
+def build(handed: dict, inbox: SimpleQueue, **other_limits: int) -> tuple[Deciding, list]:
+    """The deciding thread's object, and the parts whose threads are to be started."""
     server, limits = decode(handed)
+    limits = replace(limits, **other_limits)
     addresses = {name: address(handed, name) for name in ("listen", "kernel", "index", "directory")}
     try:
         door = Door(addresses["listen"], limits, inbox)
--- a/lilacwalk/wire/index.py
+++ b/lilacwalk/wire/index.py
@@ -51,6 +51,7 @@
         self.sock: socket.socket | None = None
         self.try_again, self.pause = 0.0, limits.relink_least
         self.waiting: list[Call] = []
+        self.over = False
 
     def start(self) -> None:
         threading.Thread(target=self._run, name="index-writer", daemon=True).start()
@@ -67,26 +68,29 @@
             self.orders.put((begun, b"STOP %b\r\n" % call.ident.encode()))
         return begun is None
 
+    def end(self) -> None:
+        self.over = True
+        self.rest()
+
     def rest(self) -> None:
         """Nothing is in hand and nothing was for a while: closed before the other side would."""
         self.orders.put(None)
 
     def _run(self) -> None:
         try:
-            while True:
+            while not self.over:
                 try:
                     wait = max(0.0, self.try_again - time.monotonic()) if self.waiting else None
                     order = self.orders.get(timeout=wait)
                 except Empty:
                     order = ()
                 if order is None:
-                    if self.sock is not None:
-                        hang_up(self.sock)
-                        self.sock = None
+                    if (sock := self.sock) is not None:
+                        self._lose(sock)
                 elif isinstance(order, Call):
                     self.waiting.append(order)
                 elif order and order[0] is self.sock:
-                    self._send(order[1])
+                    self._send(*order)
                 if self.waiting and (self.sock is not None or time.monotonic() >= self.try_again):
                     self._begin_waiting()
         except Exception:
@@ -103,11 +107,15 @@
             return
         begun = []
         with self.lock:
+            if self.sock is None:  # it broke just now, and its reader has told of it already
+                self.waiting = calls
+                return
             for call in calls:
                 if not call.dropped:
                     call.connection = self.sock
                     begun.append(call.message)
-        self._send(b"".join(begun))
+            sock = self.sock
+        self._send(sock, b"".join(begun))
 
     def _connect(self) -> bool:
         try:
@@ -127,13 +135,17 @@
         threading.Thread(target=self._read, args=(sock,), name="index-reader", daemon=True).start()
         return True
 
-    def _send(self, data: bytes) -> None:
+    def _send(self, sock: socket.socket, data: bytes) -> None:
         try:
-            if data and self.sock is not None:
-                self.sock.sendall(data)
+            sock.sendall(data)
         except OSError:
-            hang_up(self.sock)
-            self.sock = None  # its reader tells which calls broke with it
+            self._lose(sock)  # its reader tells which calls broke with it
+
+    def _lose(self, sock: socket.socket) -> None:
+        hang_up(sock)
+        with self.lock:
+            if self.sock is sock:
+                self.sock = None
 
     def _read(self, sock: socket.socket) -> None:
         parser = LineParser(has_body, self.limits.line, self.limits.reply)
@@ -152,9 +164,6 @@
             pass
         except Exception:
             log.exception("event=thread_failed thread=index-reader")
-        hang_up(sock)
+        self._lose(sock)  # before it is told: no call begins on it any more
         self.inbox.put((self.on_broken, sock))
-        with self.lock:
-            if self.sock is sock:
-                self.sock = None
         sock.close()
--- a/lilacwalk/wire/kernel.py
+++ b/lilacwalk/wire/kernel.py
@@ -73,6 +73,13 @@
         self.on_notices: Callable
         self.on_lost: Callable
         self.last_notice = 0
+        self.over = threading.Event()
+        self.sock: socket.socket | None = None
+
+    def end(self) -> None:
+        self.over.set()
+        if self.sock is not None:
+            hang_up(self.sock)
 
     def start(self) -> None:
         threading.Thread(target=self._run, name="kernel-reader", daemon=True).start()
@@ -80,10 +87,10 @@
     def _run(self) -> None:
         pause = self.limits.relink_least
         try:
-            while True:
+            while not self.over.is_set():
                 told = self._link()
                 pause = self.limits.relink_least if told else min(self.limits.relink_most, 2 * pause)
-                threading.Event().wait(pause / SECOND)
+                self.over.wait(pause / SECOND)
         except Exception:  # without the kernel nothing runs: the process ends, and is seen to
             log.exception("event=thread_failed thread=kernel-reader")
             self.inbox.put((None, "the kernel's reader failed"))
@@ -95,6 +102,7 @@
             sock = socket.create_connection(self.address, self.limits.connect / SECOND)
         except OSError:
             return False
+        self.sock = sock
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         outbox = Outbox(sock, self.limits.link_outbox, "kernel")
--- a/lilacwalk/wire/resp.py
+++ b/lilacwalk/wire/resp.py
@@ -33,8 +33,7 @@
             elif self.size < 0:
                 end = data.find(b"\r\n", at, at + 16)
                 if end < 0:
-                    if len(data) - at >= 16:
-                        raise FrameError("a length has no end")
+                    self._begun(data[at:at + 16])
                     break
                 self._length(data[at:end])
                 at = end + 2
@@ -55,6 +54,13 @@
         self.rest = data[at:]
         return messages
 
+    def _begun(self, line: bytes) -> None:
+        """What can become no length is told now: its sender may wait for that before it sends more."""
+        mark, digits = line[:1], line[1:].removesuffix(b"\r")
+        due = b"$" if self.missing else b"*"
+        if len(line) == 16 or mark not in (b"", due) or digits.strip(b"0123456789"):
+            raise FrameError(f"{line!r} is no length")
+
     def _length(self, line: bytes) -> None:
         mark, digits = line[:1], line[1:]
         if mark != (b"$" if self.missing else b"*") or not digits.isdigit():
--- a/lilacwalk/wire/routers.py
+++ b/lilacwalk/wire/routers.py
@@ -111,14 +111,21 @@
         self.sock, self.limits, self.inbox, self.door = sock, limits, inbox, door
         self.outbox = Outbox(sock, limits.outbox, "router")
         self.ahead = threading.Semaphore(limits.chunks_ahead)
+        self.cut = False
         # The deciding thread's own.
         self.open: dict = {}  # exchanges in hand by tag
         self.last_used = 0
         self.closing_since = 0  # 0: not asked to close
+        self.complained = False
 
     def start(self) -> None:
         threading.Thread(target=self._run, name="router-reader", daemon=True).start()
 
+    def cut_off(self) -> None:
+        """Ends it from this side. What comes in can still be read after a shutdown: the reader is told."""
+        self.cut = True
+        hang_up(self.sock)
+
     def _run(self) -> None:
         try:
             self._read()
@@ -137,7 +144,7 @@
     def _read(self) -> None:
         limits = self.limits
         parser = Parser(limits.parts, limits.part, limits.skipped)
-        while chunk := self.sock.recv(limits.read):
+        while (chunk := self.sock.recv(limits.read)) and not self.cut:
             messages = parser.feed(chunk)
             if messages:
                 self.ahead.acquire()
@@ -171,6 +178,8 @@
         self.shut_down = False
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        for buffer in (socket.SO_RCVBUF, socket.SO_SNDBUF):  # connections inherit them
+            self.sock.setsockopt(socket.SOL_SOCKET, buffer, limits.buffer)
         self.sock.bind(address)
         self.sock.listen(limits.backlog)
 
@@ -184,7 +193,7 @@
     def left(self) -> None:
         self.room.release()
 
-    def shut(self) -> None:
+    def end(self) -> None:
         self.shut_down = True
         hang_up(self.sock)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,23 @@
-"""One app server with a fake host: a clock, a writer that remembers, and nothing that runs by itself."""
+"""A fake host for the controller: a clock, a writer that remembers, and nothing that runs by itself. And for
+the real app server, stand-ins of all that it speaks with, each on a loopback port that the system chose."""
+
+import json
+import os
+import socket
+import subprocess
+import sys
+import threading
+import time
+from itertools import count
+from queue import SimpleQueue
 
 import pytest
 
 from lilacwalk.decisions.controller import Controller, SWEEP
 from lilacwalk.decisions.interface import AppServer, Effect, Ending, EndpointGroup, Exchange
+from lilacwalk.lifecycle.serve import build
+from lilacwalk.wire.lines import LineParser
+from lilacwalk.wire.resp import encode, Parser
 
 GROUP = EndpointGroup("read", benefit=1.0, slo_time=10_000, async_timeout=30_000, window=50_000)
 
@@ -78,3 +92,175 @@
 @pytest.fixture
 def once(group):
     return group(name="once", effect=Effect.DEDUPLICATED)
+
+
+PATIENCE = 10.0  # seconds until a stand-in that hears nothing gives up: a failure, never a wait
+SETTINGS = {
+    "classes": [
+        {"name": "read", "aim_ms": 5000.0, "hard_limit_ms": 8000.0, "effect": "safe", "worth": 1.0},
+        {"name": "look", "aim_ms": 5000.0, "hard_limit_ms": 8000.0, "effect": "safe", "worth": 1.0},
+        {"name": "once", "aim_ms": 5000.0, "hard_limit_ms": 8000.0, "effect": "keyed", "worth": 1.0,
+         "dedup_window_ms": 5000.0}],
+    "parties": [{"name": "acme", "allowance_per_s": 100.0}],
+    "family_info": {"below": "common", "calls_by_class": [False, True, False], "call_share": 8.0,
+                    "calls_over_ms": 5000.0, "class_skip_worth": [0.0, 0.0, 0.0], "cpus": 4, "ram_kb": 1e6,
+                    "run_factor": 2.0, "stop_mode": "drop", "advert": "tokens", "key_kb": 1.0,
+                    "gauges": ["core_use", "on_cores"], "caller_idle_ms": 30000.0},
+    "limits": {"retry_after": True, "max_retry_after_ms": 1000.0},
+    "rules": {"drain_grace_ms": 100.0, "tip_multiple": 8.0},
+}
+
+
+class Talker:
+    """One end of a connection that reads whole messages and never waits for good."""
+
+    def __init__(self, sock, parser):
+        self.sock, self.parser, self.read = sock, parser, []
+        sock.settimeout(PATIENCE)
+
+    def next(self):
+        while not self.read:
+            chunk = self.sock.recv(65536)
+            if not chunk:
+                return None
+            self.read.extend(self.parser.feed(chunk))
+        return self.read.pop(0)
+
+    def reset(self):
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        self.sock.close()
+
+
+class Router(Talker):
+    idents = count(1)
+
+    def __init__(self, address):
+        super().__init__(socket.create_connection(address, PATIENCE), Parser(8, 65536, 65536))
+
+    @staticmethod
+    def message(tag, group="read", body=b"hello", **fields):
+        fields = {"i": f"{next(Router.idents):016x}", "s": int(time.time() * 1000), "t": "acme", "d": 6000,
+                  "m": "8.0", "p": "0.5"} | fields
+        text = ",".join(f"{name}={value}" for name, value in fields.items() if value is not None)
+        return encode(b"SUBMIT", b"%d" % tag, group.encode(), text.encode(), body)
+
+    def submit(self, tag, group="read", body=b"hello", **fields):
+        self.sock.sendall(self.message(tag, group, body, **fields))
+
+    def say(self, *parts):
+        self.sock.sendall(encode(*parts))
+
+    def answer(self):
+        """(tag, word, fields, body) of the next answer, or None at the connection's end."""
+        parts = self.next()
+        if parts is None:
+            return None
+        tag, word, fields, body = [bytes(part) for part in [*parts, b"", b""][:4]]
+        pairs = dict(pair.split("=") for pair in fields.decode().split(",") if pair)
+        return int(tag), word.decode(), pairs, body
+
+
+class Lines(Talker):
+    """One link of the kernel or one connection of the index, seen from the other side."""
+
+    def __init__(self, listener, bodies):
+        listener.settimeout(PATIENCE)
+        super().__init__(listener.accept()[0], LineParser(lambda words: words[0] in bodies, 512, 65536))
+
+    def tell(self, line, body=None):
+        self.sock.sendall(line.encode() + b"\r\n" + (body + b"\r\n" if body is not None else b""))
+
+    def expect(self, verb):
+        """The next message with this verb; gauges are told on the way, others are no part of the story."""
+        give_up = time.monotonic() + PATIENCE
+        while (message := self.next()) is not None:
+            words, body = message
+            assert time.monotonic() < give_up, f"no {verb} came"
+            if words[0] == "SYSINFO" and verb != "SYSINFO":
+                self.tell(f"INFO {words[1]} 0.1 0")
+            if words[0] == verb:
+                return words, None if body is None else bytes(body)
+        return None
+
+
+def plain(address):
+    return f"{address[0]}:{address[1]}"
+
+
+class Site:
+    def __init__(self, tmp_path, limits=None, settings=None, **handed):
+        self.kernel_port, self.index_port = (socket.create_server(("127.0.0.1", 0)) for _ in range(2))
+        self.catalog = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.catalog.bind(("127.0.0.1", 0))
+        self.catalog.settimeout(PATIENCE)
+        where = {name: plain(each.getsockname()) for name, each in (
+            ("kernel", self.kernel_port), ("index", self.index_port), ("directory", self.catalog))}
+        self.handed = {"name": "n1", "listen": "127.0.0.1:0", "seed": "1f", "stop_ms": 1500,
+                       "limits": {"sockets": 512}, "settings": SETTINGS | (settings or {})} | where | handed
+        self.path = tmp_path / "config.json"
+        self.limits, self.process, self.thread = limits or {}, None, None
+
+    def start(self):
+        """In this process, the deciding thread beside the test's own."""
+        self.deciding, self.parts = build(self.handed, SimpleQueue(), **self.limits)
+        self.thread = threading.Thread(target=self.deciding.run, daemon=True)
+        for each in [self.thread, *self.parts]:
+            each.start()
+        self.address = self.deciding.door.address
+        return self
+
+    def spawn(self):
+        """As a process of its own, as the platform starts it."""
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.address = free.getsockname()
+        self.path.write_text(json.dumps(self.handed | {"listen": plain(self.address)}))
+        self.process = subprocess.Popen([sys.executable, "-m", "lilacwalk", "serve"], stderr=subprocess.PIPE,
+                                        env=os.environ | {"ROUTER_CONFIG": str(self.path)}, text=True)
+        return self
+
+    def link(self, state="steady", ready=True):
+        """The kernel's side of a link that was just opened, past its fence."""
+        kernel = Lines(self.kernel_port, ("SCHED", "IODONE"))
+        kernel.opened = kernel.expect("OPEN")[0]
+        if ready:
+            kernel.tell(f"BOOTED {state} 5000")
+            words, _ = kernel.expect("SYSINFO")
+            kernel.tell(f"INFO {words[1]} 0.1 0")
+        return kernel
+
+    def calls(self):
+        return Lines(self.index_port, ("GET",))
+
+    def router(self):
+        return Router(self.address)
+
+    def end(self):
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+        if self.thread is not None and self.thread.is_alive():
+            self.deciding.inbox.put((setattr, self.deciding, "ended", True))
+            self.thread.join(PATIENCE)
+            for part in self.parts:  # or one of them might reach the ports of another test
+                part.end()
+        for sock in (self.kernel_port, self.index_port, self.catalog):
+            sock.close()
+
+
+@pytest.fixture
+def make_site(tmp_path):
+    sites = []
+
+    def make(**more):
+        sites.append(Site(tmp_path, **more))
+        return sites[-1]
+    yield make
+    for each in sites:
+        each.end()
+
+
+@pytest.fixture
+def site(make_site):
+    """A running app server and its kernel's link."""
+    running = make_site().start()
+    running.kernel = running.link()
+    return running
--- /dev/null
+++ b/tests/test_app_server.py
@@ -0,0 +1,363 @@
+"""The real app server on loopback, between stand-ins of its routers, kernel, index and catalog."""
+
+import signal
+import socket
+import time
+from queue import SimpleQueue
+
+import pytest
+from conftest import PATIENCE, SETTINGS
+
+from lilacwalk.decisions.interface import Ending
+from lilacwalk.lifecycle import serve
+from lilacwalk.lifecycle.deciding import PartFailedError
+from lilacwalk.lifecycle.limits import Limits
+from lilacwalk.wire.index import Call, IndexLink
+from lilacwalk.wire.resp import encode
+
+
+def run_once(site, router, tag, notice, result=b"result", **more):
+    """One exchange from its reading to its answer; the kernel numbers its notices."""
+    router.submit(tag, **more)
+    words, body = site.kernel.expect("SCHED")
+    site.kernel.tell(f"REAP {notice} {words[1]} success 3 {len(result)}", result)
+    return words, body, router.answer()
+
+
+def test_the_life_of_an_exchange_with_a_call(site):
+    router, odd = site.router(), bytes(range(256)) * 8
+    router.submit(7, "look", odd, i="00000000000000aa")
+    assert site.kernel.expect("SCHED") == (["SCHED", "00000000000000aa", "look", "2048"], odd)
+    site.kernel.tell("IOREQ 1 00000000000000aa 4", b"\r\n\0?")
+    index = site.calls()
+    words, body = index.expect("GET")
+    assert words[1] == "00000000000000aa" and 0 < int(words[2]) <= 6000 and body == b"\r\n\0?"
+    index.tell("00000000000000aa HIT 3", b"\r\n!")
+    assert site.kernel.expect("IODONE") == (["IODONE", "00000000000000aa", "3"], b"\r\n!")
+    site.kernel.tell("REAP 2 00000000000000aa success 12 5", b"\0\r\n\r\n")
+    tag, word, fields, result = router.answer()
+    assert (tag, word, result) == (7, "done", b"\0\r\n\r\n") and float(fields["v"]) > 0
+
+
+def test_answers_come_in_any_order_and_from_a_writer_of_single_bytes(site):
+    router = site.router()
+    for byte in router.message(1) + router.message(2):
+        router.sock.sendall(bytes([byte]))
+    first, second = (site.kernel.expect("SCHED")[0][1] for _ in range(2))
+    site.kernel.tell(f"REAP 1 {second} success 1 1", b"b")
+    site.kernel.tell(f"REAP 2 {first} failure 1 0", b"")
+    assert [router.answer()[:2] for _ in range(2)] == [(2, "done"), (1, "error")]
+
+
+@pytest.mark.parametrize("bad", [
+    dict(group="nobody"), dict(t="stranger"), dict(i="xyz"), dict(i=None), dict(m="much"), dict(m=None),
+    dict(d="nan"), dict(d="1e99"), dict(s="soon"), dict(s=None), dict(h="-1"), dict(f="two"),
+    dict(body=b"x" * 2049), dict(body=b"x" * 20_000)])
+def test_a_well_framed_message_that_is_wrong_gets_error_on_its_tag(site, bad):
+    router = site.router()
+    router.submit(3, **bad)
+    assert router.answer()[:2] == (3, "error")
+    assert run_once(site, router, 4, 1)[2][:2] == (4, "done")
+
+
+def test_verbs_nobody_knows_get_error_and_a_withdrawal_of_nothing_gets_none(site):
+    router = site.router()
+    router.say(b"WITHDRAW", b"9")
+    router.say(b"SING", b"5")
+    router.say(b"SUBMIT", b"6", b"read")
+    assert [router.answer()[:2] for _ in range(2)] == [(5, "error"), (6, "error")]
+
+
+@pytest.mark.parametrize("broken", [b"GET / HTTP/1.1\r\n\r\n", encode(b"PROBE", b"zero"), encode(b"PROBE")])
+def test_broken_framing_ends_that_connection_and_no_other(site, broken):
+    router, beside = site.router(), site.router()
+    router.sock.sendall(broken)
+    assert router.answer() is None
+    assert run_once(site, beside, 1, 1)[2][:2] == (1, "done")
+
+
+def test_a_deadline_already_past_is_denied_at_once(site):
+    router = site.router()
+    router.submit(1, s=int(time.time() * 1000) - 500, d=400)
+    router.submit(2, d=-5)
+    assert [router.answer()[:2] for _ in range(2)] == [(1, "later"), (2, "later")]
+
+
+def test_more_open_than_the_protocol_allows_gets_error_and_a_tag_used_twice_one_answer(make_site):
+    site = make_site(limits={"open_exchanges": 2}).start()
+    site.kernel, router = site.link(), site.router()
+    router.sock.sendall(b"".join(router.message(tag) for tag in (1, 1, 2, 3)))
+    assert router.answer()[:2] == (3, "error")
+    for notice in (1, 2):
+        words, _ = site.kernel.expect("SCHED")
+        site.kernel.tell(f"REAP {notice} {words[1]} success 1 0", b"")
+    assert [router.answer()[:2] for _ in range(2)] == [(1, "done"), (2, "done")]
+    router.say(b"PROBE", b"9")
+    assert router.answer()[:2] == (9, "healthy")
+
+
+@pytest.mark.parametrize("leave", [
+    lambda router: router.say(b"WITHDRAW", b"1"), lambda router: router.reset(),
+    lambda router: router.sock.close()])
+def test_work_whose_caller_is_gone_is_stopped_and_not_answered(site, leave):
+    router, beside = site.router(), site.router()
+    router.submit(1)
+    words, _ = site.kernel.expect("SCHED")
+    leave(router)
+    assert site.kernel.expect("PREEMPT")[0][1] == words[1]
+    site.kernel.tell(f"REAP 1 {words[1]} interrupted 5 0", b"")
+    assert run_once(site, beside, 1, 2)[2][:2] == (1, "done")
+    if router.sock.fileno() >= 0:
+        router.say(b"PROBE", b"2")
+        assert router.answer()[0] == 2
+
+
+def test_a_message_cut_by_a_reset_starts_nothing(site):
+    router, beside = site.router(), site.router()
+    router.sock.sendall(router.message(1, i="00000000000000ff")[:-9])
+    router.reset()
+    words, _, answer = run_once(site, beside, 1, 1)
+    assert words[1] != "00000000000000ff" and answer[1] == "done"
+
+
+def test_a_router_that_stops_reading_is_cut_off_and_delays_nobody(make_site):
+    site = make_site(limits={"outbox": 4_096, "buffer": 4_096}).start()
+    site.kernel, stuck, beside = site.link(), site.router(), site.router()
+    probes = b"".join(encode(b"PROBE", b"%d" % tag) for tag in range(1, 200))
+    with pytest.raises((ConnectionResetError, BrokenPipeError)):  # long before the count ends
+        for _ in range(20_000):
+            stuck.sock.sendall(probes)
+    assert run_once(site, beside, 1, 1)[2][:2] == (1, "done")
+
+
+def test_a_flood_of_connections_leaves_room_for_who_asks(make_site):
+    site = make_site(limits={"connections": 12, "crowded": 8}).start()
+    site.kernel = site.link()
+    flood = [socket.create_connection(site.address, PATIENCE) for _ in range(40)]
+    assert run_once(site, site.router(), 1, 1)[2][:2] == (1, "done")
+    assert len(flood) == 40
+
+
+def test_probes_are_answered_before_the_kernel_is_up_and_reports_begin_with_it(make_site):
+    site = make_site().start()
+    kernel, router = site.link(ready=False), site.router()
+    router.say(b"PROBE", b"1", b"x=1")
+    assert router.answer()[:2] == (1, "healthy")
+    router.submit(2)
+    assert router.answer()[:2] == (2, "later")
+    site.catalog.setblocking(False)
+    with pytest.raises(BlockingIOError):
+        site.catalog.recv(100)
+    kernel.tell("BOOTED booting 10")
+    site.catalog.settimeout(PATIENCE)
+    assert site.catalog.recv(100) == b"alive n1 passing"
+    assert site.deciding.controller.server.just_started
+
+
+def test_a_lost_link_is_replayed_once_and_only_what_may_be_lost_is_sent_again(site):
+    router = site.router()
+    for tag in (1, 2, 3):
+        router.submit(tag, i=f"{tag:016x}")
+        site.kernel.expect("SCHED")
+    site.kernel.tell(f"REAP 1 {1:016x} success 1 1", b"a")
+    assert router.answer()[0] == 1
+    site.kernel.reset()
+    kernel = site.link(ready=False)
+    assert kernel.opened == ["OPEN", "1"]
+    kernel.tell("BOOTED steady 9000")
+    fence = kernel.expect("SYSINFO")[0][1]
+    kernel.tell(f"REAP 1 {1:016x} success 1 1", b"a")  # known already
+    kernel.tell(f"REAP 2 {2:016x} success 1 1", b"b")
+    kernel.tell(f"INFO {fence} 0.5 1")
+    words, body = kernel.expect("SCHED")
+    assert words[1] == f"{3:016x}" and body == b"hello"
+    kernel.tell(f"REAP 3 {3:016x} success 1 1", b"c")
+    assert [router.answer()[::3] for _ in range(2)] == [(2, b"b"), (3, b"c")]
+
+
+def test_what_is_decided_without_a_link_is_sent_behind_the_fence(site):
+    router = site.router()
+    router.submit(1)
+    words, _ = site.kernel.expect("SCHED")
+    site.kernel.reset()
+    router.say(b"WITHDRAW", b"1")
+    kernel = site.link()
+    assert [kernel.expect(verb)[0][1] for verb in ("SCHED", "PREEMPT")] == [words[1]] * 2
+
+
+def test_a_command_that_the_kernel_rejects_still_gets_its_one_answer(site):
+    router = site.router()
+    router.submit(1)
+    words, _ = site.kernel.expect("SCHED")
+    site.kernel.tell(f"EINVAL SCHED {words[1]}")
+    assert router.answer()[:2] == (1, "error")
+    assert run_once(site, router, 2, 1)[2][:2] == (2, "done")
+
+
+@pytest.mark.parametrize("reply", ["SHED", "NOBODY", "BROKEN", "SLOW"])
+def test_a_call_that_fails_is_made_again_where_that_is_safe(site, reply):
+    router = site.router()
+    router.submit(1, "look")
+    ident = site.kernel.expect("SCHED")[0][1]
+    site.kernel.tell(f"IOREQ 1 {ident} 1", b"?")
+    index = site.calls()
+    index.expect("GET")
+    index.tell(f"{ident} {reply}")
+    assert index.expect("GET")[1] == b"?"
+    index.tell(f"{ident} HIT 1", b"!")
+    assert site.kernel.expect("IODONE")[1] == b"!"
+
+
+def test_a_call_on_a_connection_that_breaks_is_made_on_a_new_one(site):
+    router = site.router()
+    router.submit(1, "look")
+    ident = site.kernel.expect("SCHED")[0][1]
+    site.kernel.tell(f"IOREQ 1 {ident} 1", b"?")
+    index = site.calls()
+    index.expect("GET")
+    index.reset()
+    again = site.calls()
+    again.expect("GET")
+    again.tell(f"{ident} HIT 1", b"!")
+    assert site.kernel.expect("IODONE")[1] == b"!"
+
+
+def test_a_call_that_takes_too_long_is_stopped_and_its_exchange_answered(site):
+    router = site.router()
+    router.submit(1, "look", d=1200)
+    ident = site.kernel.expect("SCHED")[0][1]
+    site.kernel.tell(f"IOREQ 1 {ident} 1", b"?")
+    index = site.calls()
+    assert index.expect("GET") and index.expect("STOP")[0] == ["STOP", ident]
+    assert router.answer()[0] == 1
+
+
+def link_to(address):
+    """An index link alone, with what it tells."""
+    told = SimpleQueue()
+    link = IndexLink(address, Limits.given({"settings": SETTINGS}), told)
+    link.on_refused, link.on_replies, link.on_broken = "refused", "replies", "broken"
+    link.start()
+    return link, told
+
+
+def test_a_dependency_that_is_down_is_told_at_once_and_then_tried_at_intervals():
+    with socket.create_server(("127.0.0.1", 0)) as port:
+        address = port.getsockname()
+    link, told = link_to(address)
+    first, second = Call("a", 100, b""), Call("b", 100, b"")
+    link.make(first)
+    assert told.get(timeout=PATIENCE) == ("refused", [first])
+    begun = time.monotonic()
+    link.make(second)
+    assert told.get(timeout=PATIENCE) == ("refused", [second])
+    assert time.monotonic() - begun > 0.005  # after a pause: the controller asks again as soon as it is told
+    assert link.give_up(second)
+    link.end()
+
+
+def test_a_call_given_up_before_it_left_never_ran_and_one_that_left_may_have():
+    with socket.create_server(("127.0.0.1", 0)) as port:
+        link, told = link_to(port.getsockname())
+        never, made = Call("a", 100, b""), Call("b", 100, b"")
+        assert link.give_up(never)
+        link.make(never)
+        link.make(made)
+        port.settimeout(PATIENCE)
+        sock, _ = port.accept()
+        assert sock.recv(100).startswith(b"GET b ")
+        assert not link.give_up(made)
+        assert sock.recv(100) == b"STOP b\r\n"
+        link.rest()
+        assert sock.recv(100) == b""
+        assert told.get(timeout=PATIENCE) == ("broken", made.connection)
+        link.end()
+
+
+def test_a_repeat_by_key_joins_the_first_and_later_gets_its_result(site):
+    router = site.router()
+    router.submit(1, "once", k="order-1")
+    ident = site.kernel.expect("SCHED")[0][1]
+    router.submit(2, "once", k="order-1")
+    router.say(b"PROBE", b"3")
+    assert router.answer()[0] == 3  # the repeat is read by now
+    site.kernel.tell(f"REAP 1 {ident} success 1 3", b"one")
+    assert sorted(router.answer()[::3] for _ in range(2)) == [(1, b"one"), (2, b"one")]
+    router.submit(4, "once", k="order-1")
+    assert router.answer()[::3] == (4, b"one")
+    assert run_once(site, router, 5, 2, b"two", group="once", k="order-2")[2][::3] == (5, b"two")
+
+
+def test_a_read_answers_others_while_it_is_fresh_and_only_there(make_site):
+    fresh = {"family_info": SETTINGS["family_info"] | {"fresh_ms": 60_000.0}}
+    site = make_site(settings=fresh).start()
+    site.kernel, router = site.link(), site.router()
+    assert run_once(site, router, 1, 1, b"one", o="subject")[2][3] == b"one"
+    router.submit(2, o="subject")
+    assert router.answer()[::3] == (2, b"one")
+    assert run_once(site, router, 3, 2, b"two", o="other")[2][3] == b"two"
+
+
+def test_an_idle_connection_is_asked_to_close_and_one_in_use_is_not(make_site):
+    site = make_site(settings={"family_info": SETTINGS["family_info"] | {"caller_idle_ms": 100.0}}).start()
+    site.kernel, idle, used = site.link(), site.router(), site.router()
+    used.submit(1)
+    words, _ = site.kernel.expect("SCHED")
+    assert idle.answer()[:2] == (0, "closing")
+    site.kernel.tell(f"REAP 1 {words[1]} success 1 0", b"")
+    assert used.answer()[:2] == (1, "done")
+
+
+def test_a_drain_answers_all_that_was_read_and_ends_in_time(make_site):
+    site = make_site().spawn()
+    kernel = site.link()
+    router, silent = site.router(), site.router()
+    router.submit(1, i="00000000000000aa")
+    router.submit(2, i="00000000000000bb")
+    kernel.expect("SCHED"), kernel.expect("SCHED")
+    begun = time.monotonic()
+    site.process.send_signal(signal.SIGTERM)
+    site.process.send_signal(signal.SIGTERM)
+    kernel.tell("REAP 1 00000000000000aa success 1 1", b"a")
+    answers = {each[0]: each[1] for each in (router.answer() for _ in range(3))}
+    assert answers[1] == "done" and answers[0] == "closing" and answers[2] in ("later", "error")
+    assert router.answer() is None and silent.answer()[:2] == (0, "closing")
+    assert site.process.wait(PATIENCE) == 0 and time.monotonic() - begun < 1.5
+
+
+def test_once_all_routers_have_closed_a_drain_waits_no_longer(make_site):
+    site = make_site(stop_ms=60_000).spawn()
+    site.link()
+    router = site.router()
+    router.say(b"PROBE", b"1")
+    assert router.answer()[1] == "healthy"
+    site.process.send_signal(signal.SIGTERM)
+    assert router.answer()[:2] == (0, "closing")
+    router.sock.close()
+    assert site.process.wait(PATIENCE) == 0
+
+
+@pytest.mark.parametrize("text", [None, "{", "[]", '{"settings": {}}', '{"settings": {"classes": [{}]}}'])
+def test_a_configuration_that_cannot_be_used_is_one_plain_line_and_exit_code_2(tmp_path, capsys, text):
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    assert serve.serve(str(path)) == 2
+    error = capsys.readouterr().err
+    assert error.startswith("lilacwalk: ") and error.count("\n") == 1
+
+
+def test_an_address_in_use_is_one_plain_line(make_site):
+    handed = make_site().handed
+    with pytest.raises(serve.CannotStartError, match="cannot listen"):
+        serve.build(handed | {"listen": handed["kernel"]}, SimpleQueue())
+
+
+def test_an_error_in_the_deciding_thread_ends_it(make_site):
+    deciding, _ = serve.build(make_site().handed, SimpleQueue())
+    deciding.inbox.put((None, "a part failed"))
+    with pytest.raises(PartFailedError):
+        deciding.run()
+    deciding.inbox.put((deciding._call_over, None, Ending.OK))
+    with pytest.raises(AttributeError):
+        deciding.run()
