Sites without an index start; a router that stopped reading is ended with a reset

Now the address is read only where it is handed over; calls, should there be any, count as unreachable.

Seen: one test in six of the stuck router waited 10 s: both windows were full, so neither the end nor the reset got through. Checked: the connection was cut off at once, its reader had gone.

--- a/lilacwalk/lifecycle/answering.py
+++ b/lilacwalk/lifecycle/answering.py
@@ -33,7 +33,7 @@
         """A router that has stopped reading is cut off, before what it leaves unread fills the memory."""
         if not connection.cut and not connection.outbox.put(data):
             log.warning("event=connection_ended reason=stopped_reading")
-            connection.cut_off()
+            connection.cut_off(reset=True)
 
     def say(self, connection: Connection, tag: int, word: bytes) -> None:
         self.send(connection, routers.answer(tag, word, routers.said(self.value)))
--- a/lilacwalk/lifecycle/serve.py
+++ b/lilacwalk/lifecycle/serve.py
@@ -48,6 +48,12 @@
     return host, int(port)
 
 
+def addresses(handed: dict) -> dict[str, tuple[str, int]]:
+    """Where all the parties are; a site whose exchanges make no calls has no index."""
+    names = ("listen", "kernel", "directory") + (("index",) if handed.get("index") else ())
+    return {name: address(handed, name) for name in names}
+
+
 def decode(handed: dict) -> tuple:
     """The app server as the controller knows it, and the limits of its sockets."""
     try:
@@ -60,15 +66,15 @@
     """The deciding thread's object, and the parts whose threads are to be started."""
     server, limits = decode(handed)
     limits = replace(limits, **other_limits)
-    addresses = {name: address(handed, name) for name in ("listen", "kernel", "index", "directory")}
+    parties = addresses(handed)
     try:
-        door = Door(addresses["listen"], limits, inbox)
+        door = Door(parties["listen"], limits, inbox)
     except OSError as error:
         raise CannotStartError(f"cannot listen on {handed['listen']}: {error.strerror}") from None
     gauge_names = [str(name) for name in row(section(handed["settings"], "family_info"), "gauges")]
-    kernel_link = KernelLink(addresses["kernel"], limits, inbox, gauge_names)
-    index = IndexLink(addresses["index"], limits, inbox)
-    catalog = Catalog(addresses["directory"], str(handed.get("name", "")))
+    kernel_link = KernelLink(parties["kernel"], limits, inbox, gauge_names)
+    index = IndexLink(parties.get("index"), limits, inbox)
+    catalog = Catalog(parties["directory"], str(handed.get("name", "")))
     deciding = Deciding(server, limits, Clock(), inbox, door, kernel_link, index, catalog)
     return deciding, [door, kernel_link, index]
 
@@ -99,11 +105,11 @@
     try:
         handed = read(path)
         server, limits = decode(handed)
-        addresses = {name: address(handed, name) for name in ("listen", "kernel", "index", "directory")}
+        parties = addresses(handed)
     except CannotStartError as error:
         print(f"lilacwalk: {error}", file=sys.stderr)
         return 2
-    print(f"name={handed.get('name', '')} " + " ".join(f"{k}={h}:{p}" for k, (h, p) in addresses.items()))
+    print(f"name={handed.get('name', '')} " + " ".join(f"{k}={h}:{p}" for k, (h, p) in parties.items()))
     print(f"cores={server.cores} memory_kb={server.memory_kb:g} fleet={server.fleet} "
           f"connections={limits.connections} stop_ms={limits.stop // 10}")
     for group in server.groups:
--- a/lilacwalk/wire/index.py
+++ b/lilacwalk/wire/index.py
@@ -41,7 +41,7 @@
     the calls that wait for it; the next is not tried before a pause, so that a dependency that is down
     costs no busy loop, and calls made meanwhile wait for that try or their own time limit."""
 
-    def __init__(self, address: tuple[str, int], limits: Limits, inbox: SimpleQueue) -> None:
+    def __init__(self, address: tuple[str, int] | None, limits: Limits, inbox: SimpleQueue) -> None:
         self.address, self.limits, self.inbox = address, limits, inbox
         self.on_replies: Callable
         self.on_refused: Callable
@@ -119,6 +119,8 @@
 
     def _connect(self) -> bool:
         try:
+            if self.address is None:
+                raise OSError("this site has no index")
             sock = socket.create_connection(self.address, self.limits.connect / SECOND)
         except OSError as error:
             if self.pause == self.limits.relink_least:
--- a/lilacwalk/wire/outbox.py
+++ b/lilacwalk/wire/outbox.py
@@ -4,6 +4,7 @@
 
 import logging
 import socket
+import struct
 import threading
 from queue import Empty, SimpleQueue
 
@@ -63,9 +64,12 @@
             hang_up(self.sock)
 
 
-def hang_up(sock: socket.socket) -> None:
-    """Wakes whoever reads or writes it. Closing is left to its reader: no descriptor is used twice."""
+def hang_up(sock: socket.socket, reset: bool = False) -> None:
+    """Wakes whoever reads or writes it. Closing is left to its reader: no descriptor is used twice. After a
+    reset the system drops at its closing what the other side would never take; else both ends may linger."""
     try:
+        if reset:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         sock.shutdown(socket.SHUT_RDWR)
     except OSError:
         pass  # it had ended already
--- a/lilacwalk/wire/routers.py
+++ b/lilacwalk/wire/routers.py
@@ -121,10 +121,10 @@
     def start(self) -> None:
         threading.Thread(target=self._run, name="router-reader", daemon=True).start()
 
-    def cut_off(self) -> None:
+    def cut_off(self, reset: bool = False) -> None:
         """Ends it from this side. What comes in can still be read after a shutdown: the reader is told."""
         self.cut = True
-        hang_up(self.sock)
+        hang_up(self.sock, reset)
 
     def _run(self) -> None:
         try:
--- a/tests/test_app_server.py
+++ b/tests/test_app_server.py
@@ -337,6 +337,12 @@
     assert site.process.wait(PATIENCE) == 0
 
 
+def test_a_site_without_an_index_serves(make_site):
+    site = make_site(index=None).start()
+    site.kernel, router = site.link(), site.router()
+    assert run_once(site, router, 1, 1)[2][:2] == (1, "done")
+
+
 @pytest.mark.parametrize("text", [None, "{", "[]", '{"settings": {}}', '{"settings": {"classes": [{}]}}'])
 def test_a_configuration_that_cannot_be_used_is_one_plain_line_and_exit_code_2(tmp_path, capsys, text):
     path = tmp_path / "config.json"
