--- a/lilacwalk/lifecycle/limits.py
+++ b/lilacwalk/lifecycle/limits.py
@@ -24,12 +24,14 @@
     parts: int = 8  # of one message: five are in use, a few more may come with a later protocol
     part: int = 16_384  # a longer part is skipped, not stored
     skipped: int = 1_048_576  # a part beyond this ends the connection
-    read: int = 16_384  # bytes taken from a socket at once
-    chunks_ahead: int = 2  # read from one connection and not yet decided on
+    read: int = 4_096  # bytes taken from a router's socket at once: a message is a few hundred mostly
+    batch: int = 32  # messages handed over at once: more are never open on one connection
+    batches_ahead: int = 2  # read from one connection and not yet decided on
     buffer: int = 65_536  # of the system, each way: 32 open exchanges; it counts as memory too
     outbox: int = 163_840  # 32 results of 4 KiB with their fields; a router that lets more stand is cut off
     backlog: int = 128  # connections not yet accepted
     # Kernel and index: their messages are longer than the routers' by a few words.
+    link_read: int = 65_536
     line: int = 512
     reply: int = 1_048_576
     link_outbox: int = 8_388_608  # a party on the same machine that leaves this much unread is gone
@@ -38,7 +40,7 @@
     index_idle: int = 8 * SECOND  # the other side closes after ten seconds
     connect: int = SECOND // 4  # on one machine connections open at once or not at all
     # In hand and kept.
-    in_hand: int = 8_192  # with bodies of 2 KiB some 30 MB
+    in_hand: int = 4_096  # measured at 9 KB each with bodies of 2 KiB
     kept: int = 16_384
     kept_bytes: int = 16_777_216
     # Times.
--- a/lilacwalk/wire/index.py
+++ b/lilacwalk/wire/index.py
@@ -152,7 +152,7 @@
     def _read(self, sock: socket.socket) -> None:
         parser = LineParser(has_body, self.limits.line, self.limits.reply)
         try:
-            while chunk := sock.recv(self.limits.read):
+            while chunk := sock.recv(self.limits.link_read):
                 replies = []
                 for words, body in parser.feed(chunk):
                     if len(words) < 2 or words[1] not in ENDINGS:
--- a/lilacwalk/wire/kernel.py
+++ b/lilacwalk/wire/kernel.py
@@ -109,7 +109,7 @@
         parser = LineParser(has_body, self.limits.line, self.limits.reply)
         self.inbox.put((self.on_linked, outbox, b"OPEN %d\r\n" % self.last_notice))
         try:
-            while chunk := sock.recv(self.limits.read):
+            while chunk := sock.recv(self.limits.link_read):
                 told = True
                 notices = [decode(*message, self.gauge_names) for message in parser.feed(chunk)]
                 fresh = []
--- a/lilacwalk/wire/outbox.py
+++ b/lilacwalk/wire/outbox.py
@@ -9,6 +9,7 @@
 from queue import Empty, SimpleQueue
 
 log = logging.getLogger(__name__)
+HEADER = 64  # what Python keeps of one message beside its bytes: many short ones weigh more than they say
 
 
 class Outbox:
@@ -23,9 +24,9 @@
 
     def put(self, data: bytes) -> bool:
         """False where too much stands unsent already: the other side has stopped reading."""
-        if self.taken - self.sent + len(data) > self.limit:
+        if self.taken - self.sent + len(data) + HEADER > self.limit:
             return False
-        self.taken += len(data)
+        self.taken += len(data) + HEADER
         self.queue.put(data)
         if self.thread is None:
             self.thread = threading.Thread(target=self._run, name=f"{self.name}-writer", daemon=True)
@@ -56,7 +57,7 @@
                     return
                 data = b"".join(pieces) if len(pieces) > 1 else pieces[0]
                 self.sock.sendall(data)
-                self.sent += len(data)
+                self.sent += len(data) + HEADER * len(pieces)
         except OSError:
             hang_up(self.sock)  # the reader of this connection sees it end, and tells
         except Exception:
--- a/lilacwalk/wire/resp.py
+++ b/lilacwalk/wire/resp.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 
 class FrameError(Exception):
     """The bytes are no message; what follows cannot be read any more."""
@@ -19,9 +21,10 @@
         self.size = -1  # of the part begun; -1: its length is not read yet
         self.to_skip = 0
 
-    def feed(self, chunk: bytes) -> list[list[memoryview | None]]:
+    def feed(self, chunk: bytes) -> Iterator[list[memoryview | None]]:
+        """Message by message, so that hundreds of short ones in a chunk never stand decoded at once."""
         data = self.rest + chunk if self.rest else chunk
-        view, at, messages = memoryview(data), 0, []
+        view, at = memoryview(data), 0
         while True:
             if self.to_skip:
                 step = min(self.to_skip, len(data) - at)
@@ -49,10 +52,9 @@
                 at = end + 2
             self.missing -= 1
             if not self.missing:
-                messages.append(self.parts)
-                self.parts = []
+                parts, self.parts = self.parts, []
+                yield parts
         self.rest = data[at:]
-        return messages
 
     def _begun(self, line: bytes) -> None:
         """What can become no length is told now: its sender may wait for that before it sends more."""
--- a/lilacwalk/wire/routers.py
+++ b/lilacwalk/wire/routers.py
@@ -110,7 +110,7 @@
     def __init__(self, sock: socket.socket, limits: Limits, inbox: SimpleQueue, door: Door) -> None:
         self.sock, self.limits, self.inbox, self.door = sock, limits, inbox, door
         self.outbox = Outbox(sock, limits.outbox, "router")
-        self.ahead = threading.Semaphore(limits.chunks_ahead)
+        self.ahead = threading.Semaphore(limits.batches_ahead)
         self.cut = False
         # The deciding thread's own.
         self.open: dict = {}  # exchanges in hand by tag
@@ -145,10 +145,18 @@
         limits = self.limits
         parser = Parser(limits.parts, limits.part, limits.skipped)
         while (chunk := self.sock.recv(limits.read)) and not self.cut:
-            messages = parser.feed(chunk)
+            messages = []
+            for parts in parser.feed(chunk):
+                messages.append(self._decode(parts))
+                if len(messages) == limits.batch:
+                    self._hand_over(messages)
+                    messages = []
             if messages:
-                self.ahead.acquire()
-                self.inbox.put((self.door.on_messages, self, [self._decode(parts) for parts in messages]))
+                self._hand_over(messages)
+
+    def _hand_over(self, messages: list[tuple]) -> None:
+        self.ahead.acquire()
+        self.inbox.put((self.door.on_messages, self, messages))
 
     def _decode(self, parts: list[memoryview | None]) -> tuple:
         """(verb, tag, what it is about); a verb that is empty stands for a message to be answered `error`."""
--- a/tests/test_app_server.py
+++ b/tests/test_app_server.py
@@ -3,7 +3,7 @@
 import signal
 import socket
 import time
-from queue import SimpleQueue
+from queue import Empty, SimpleQueue
 
 import pytest
 from conftest import PATIENCE, SETTINGS
@@ -130,6 +130,21 @@
     assert run_once(site, beside, 1, 1)[2][:2] == (1, "done")
 
 
+def test_a_router_that_floods_waits_for_itself(make_site):
+    deciding, (door, *_) = serve.build(make_site().handed, SimpleQueue())
+    door.start()
+    with socket.create_connection(door.address, PATIENCE) as flood:
+        flood.sendall(b"".join(encode(b"PROBE", b"%d" % tag) for tag in range(1, 500)))
+        _, connection = deciding.inbox.get(timeout=PATIENCE)
+        batches = [deciding.inbox.get(timeout=PATIENCE) for _ in range(2)]
+        assert [len(messages) for _, _, messages in batches] == [32, 32]
+        with pytest.raises(Empty):
+            deciding.inbox.get(timeout=0.1)
+        connection.ahead.release()
+        assert len(deciding.inbox.get(timeout=PATIENCE)[2]) == 32
+    door.end()
+
+
 def test_a_flood_of_connections_leaves_room_for_who_asks(make_site):
     site = make_site(limits={"connections": 12, "crowded": 8}).start()
     site.kernel = site.link()
