A command sent twice and rejected no longer ends a run that goes on; links retried within 0.1 s

Found by reading the handlers against the protocol: after a lost link a reply that had come through is sent again, a rejection of it answered the exchange with an error although its run went on. Now only a rejection of what was sent once ends the exchange. Pauses between tries were up to 1 s, in which calls waited for a dependency that was back; ten tries a second cost nothing. A memory figure of 0 and a rank that is no number count as bad messages.

--- a/lilacwalk/lifecycle/answering.py
+++ b/lilacwalk/lifecycle/answering.py
@@ -55,11 +55,13 @@
         host.calls.append((host.controller.finished, each.ex, Ending.ERROR if result is None else Ending.OK))
         host.hand.drop(each)
 
-    def command(self, each: InHand, command: bytes) -> None:
-        """Kept until a notice proves that it came through, and sent later where there is no link."""
-        each.unsure.append(command)
-        if self.host.kernel_ready and not self.host.kernel.put(command):
-            hang_up(self.host.kernel.sock)  # nothing reads there: a new link begins with what is unsure
+    def command(self, each: InHand, *commands: bytes) -> None:
+        """Kept until a notice proves that it came through, and sent later where there is no link. Without a
+        new one, those that are kept are sent again."""
+        each.unsure.extend(commands)
+        for command in commands or each.unsure:
+            if self.host.kernel_ready and not self.host.kernel.put(command):
+                hang_up(self.host.kernel.sock)  # nothing reads there: a new link begins with what is unsure
 
     # The controller's decisions
 
--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -260,11 +260,12 @@
         self.gauges = values.get("core_use", 1.0), values.get("on_cores", float(self.server.cores))
         if tag == self.fence and not self.kernel_ready:
             self.kernel_ready, self.fence = True, ""
-            again = [command for each in self.hand.by_id.values() for command in each.unsure]
+            again = [each for each in self.hand.by_id.values() if each.unsure]
             if again:
-                log.info("event=commands_sent_again count=%d", len(again))
-            for command in again:
-                self.kernel.put(command)
+                log.info("event=commands_sent_again exchanges=%d", len(again))
+            for each in again:
+                each.sent_again = True
+                self.out.command(each)
 
     def _run_ended(self, ident: str, ending: Ending, result: memoryview | bytes) -> None:
         each = self.hand.by_id.get(ident)
@@ -290,10 +291,11 @@
         self.calls.append((self.controller.at_call, each.ex))
 
     def _rejected(self, command: str, ident: str) -> None:
-        """The run of a command that was not carried out may hang: it is answered, and its run given up."""
+        """The run of a command that was not carried out may hang: it is answered, and its run given up. What
+        was sent twice may be known, and its run go on: then its end or its due time decides."""
         log.error("event=command_rejected command=%s id=%s", command, ident)
         each = self.hand.by_id.get(ident)
-        if each is not None and command in ("SCHED", "IODONE", "NOIO"):
+        if each is not None and command in ("SCHED", "IODONE", "NOIO") and not each.sent_again:
             self.out.answer(each, b"error")
             self.calls.append((self.controller.finished, each.ex, Ending.MOOT))
             self.forget(each, None)
--- a/lilacwalk/lifecycle/limits.py
+++ b/lilacwalk/lifecycle/limits.py
@@ -35,8 +35,8 @@
     line: int = 512
     reply: int = 1_048_576
     link_outbox: int = 8_388_608  # a party on the same machine that leaves this much unread is gone
-    relink_least: int = SECOND // 50  # a lost link is tried again soon,
-    relink_most: int = SECOND  # and then ever less often
+    relink_least: int = SECOND // 50  # a lost link is tried again soon, then less often:
+    relink_most: int = SECOND // 10  # ten tries a second cost nothing, and calls may wait for the next one
     index_idle: int = 8 * SECOND  # the other side closes after ten seconds
     connect: int = SECOND // 4  # on one machine connections open at once or not at all
     # In hand and kept.
--- a/lilacwalk/memory/hand.py
+++ b/lilacwalk/memory/hand.py
@@ -21,6 +21,7 @@
     body: bytes
     kept_as: tuple | None = None  # its name in the table of keys and results
     unsure: list[bytes] = field(default_factory=list)  # commands that no notice has confirmed yet
+    sent_again: bool = False  # some of them, after a link was lost: the kernel may know them already
     call_body: bytes = b""
     call_notice: int = 0
     call: Call | None = None
--- a/lilacwalk/wire/routers.py
+++ b/lilacwalk/wire/routers.py
@@ -16,6 +16,7 @@
 from lilacwalk.wire.resp import encode, FrameError, Parser
 
 log = logging.getLogger(__name__)
+LEAST_KB = 1e-6  # an exchange that takes no memory is a mistake
 LONGEST_WAIT_MS = 3_600_000.0  # numbers beyond an hour are no times that a caller waits
 
 
@@ -68,6 +69,7 @@
     ident = fields.get("i", "")
     if len(ident) != 16 or not all(digit in "0123456789abcdef" for digit in ident):
         raise BadMessageError("i is not 16 hex digits")
+    number(fields, "p", 0.0, 1.0, 0.0)  # not used by any decision, yet no message with a wrong one is sound
     return Asked(
         id=ident,
         group=str(parts[2], "utf-8", "replace"),
@@ -76,7 +78,7 @@
         arrived=late(number(fields, "s", 0, 1e14)),
         wait=early(number(fields, "d", -LONGEST_WAIT_MS, LONGEST_WAIT_MS)) if "d" in fields else None,
         work_hint=late(number(fields, "h", 0, LONGEST_WAIT_MS, 0.0)),
-        hold_kb=number(fields, "m", 0.0, 1e6),
+        hold_kb=number(fields, "m", LEAST_KB, 1e6),
         retry=fields.get("r") in ("1", "true"),
         subject=fields.get("o", ""),
         key=fields.get("k", ""),
--- a/tests/test_app_server.py
+++ b/tests/test_app_server.py
@@ -51,7 +51,8 @@
 
 @pytest.mark.parametrize("bad", [
     dict(group="nobody"), dict(t="stranger"), dict(i="xyz"), dict(i=None), dict(m="much"), dict(m=None),
-    dict(d="nan"), dict(d="1e99"), dict(s="soon"), dict(s=None), dict(h="-1"), dict(f="two"),
+    dict(m="0"), dict(p="first"), dict(d="nan"), dict(d="1e99"), dict(s="soon"), dict(s=None), dict(h="-1"),
+    dict(f="two"),
     dict(body=b"x" * 2049), dict(body=b"x" * 20_000)])
 def test_a_well_framed_message_that_is_wrong_gets_error_on_its_tag(site, bad):
     router = site.router()
@@ -190,6 +191,23 @@
     assert [router.answer()[::3] for _ in range(2)] == [(2, b"b"), (3, b"c")]
 
 
+def test_a_reply_sent_twice_and_rejected_does_not_end_a_run_that_goes_on(site):
+    router = site.router()
+    router.submit(1, "look")
+    ident = site.kernel.expect("SCHED")[0][1]
+    site.kernel.tell(f"IOREQ 1 {ident} 1", b"?")
+    index = site.calls()
+    index.expect("GET")
+    index.tell(f"{ident} HIT 1", b"!")
+    site.kernel.expect("IODONE")
+    site.kernel.reset()
+    kernel = site.link()
+    assert kernel.opened == ["OPEN", "1"] and kernel.expect("IODONE") == (["IODONE", ident, "1"], b"!")
+    kernel.tell(f"EINVAL IODONE {ident}")
+    kernel.tell(f"REAP 2 {ident} success 9 1", b"r")
+    assert router.answer()[1::2] == ("done", b"r")
+
+
 def test_what_is_decided_without_a_link_is_sent_behind_the_fence(site):
     router = site.router()
     router.submit(1)
