--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -78,13 +78,14 @@
         self.patience_seen: dict[tuple, dict[int, float]] = {}  # by caller and group, counted in buckets
         self.call_time, self.quiet_call_time, self.calls_seen = 0.0, 0.0, 0
         self.call_limit = self._call_cap()  # mean number in hand
+        self.calls_crowded = False
         self.unread_wait = 0.0  # from reaching the machine until read
         self.last_progress = self.last_timer = self.call_ready = now
         self.customer_counts: dict[Customer, int] = {each: 0 for each in server.customers}
         self.customer_rates: dict[Customer, float] = {each: 0.0 for each in server.customers}
         self.caller_counts: dict[int, float] = {}
         self.returning = 1.0  # part of the arrivals whose caller came here within the last seconds
-        self.closes_idle = self.stalled = self.calls_crowded = False
+        self.closes_idle = self.stalled = False
         # How unlike callers are is unknown at first: a warm server starts generous, a cold one does not.
         self.level, self.said, self.ease = 0.0, -1.0, 1.0 if server.just_started else EASE_MOST
         self.grace_end = self.leave_by = 0  # 0: no notice to leave yet
@@ -150,8 +151,8 @@
             if not ex.answered:
                 self._learn_run(ex, self.now - ex.started - ex.call_wait)
                 self._count_answer(ex)
-        elif ex.spared or ending is Ending.STOPPED and self.server.stop_mode is StopMode.NONE:
-            self._progress()  # other stops are our own doing: standing cores may confirm them too
+        elif ending is Ending.STOPPED and ex.place is Place.ON_CORES:
+            self._progress()
         ex.answered = True
         self._over(ex)
 
@@ -230,7 +231,8 @@
         gain = self.server.cores * SECOND / max(1, self.mean_run) / max(1.0, self.rate)
         kp, ki, h = KP * min(1.0, gain), KI * min(1.0, gain), TICK / SECOND
         p = self.p_a + (kp + ki * h / 2) * e - (kp - ki * h / 2) * self.last_e
-        p = max(p, self.p_a) if idle else p
+        if idle:
+            p = max(p, self.p_a)
         self.p_a = min(1.0, max(P_FLOOR, p))
         self.last_e = e
         # The running mean spans about two ticks, so that a few very long exchanges do not saw p_a.
@@ -389,7 +391,7 @@
     def _stop(self, ex: Exchange) -> None:
         """Work that serves nobody is stopped, unless a repeat may still be answered from it."""
         may = ex.group.effect is Effect.REPEATABLE and self.server.stop_mode is not StopMode.NONE
-        if may and ex.place is Place.ON_CORES and not ex.spared:
+        if may and ex.place is Place.ON_CORES:
             self.out.stop(ex)
 
     def _overdue(self, ex: Exchange) -> None:
@@ -564,9 +566,7 @@
 
     def _watch_progress(self) -> None:
         """Work that stands still while reading goes on, whatever the cause: what is in hand is worth more
-        elsewhere, so it is denied at once and callers told to stay away until the run that is left moves."""
-        if self.stalled and self.now - self.last_progress > max(g.async_timeout for g in self.server.groups):
-            self._progress()  # a lone run may hang for good, and nothing in hand is waited for any more
+        elsewhere, so it is denied at once and callers are told to stay away until anything moves."""
         if self.stalled or not self.on_cores:
             return
         longest = max(self.run_times.values(), default=self.mean_run)  # a lone long run is no silence
@@ -577,7 +577,6 @@
         self.out.health(False)
         self.out.log("work stands still: all is denied until something moves")
         self._advise()
-        min((ex for ex in self.open if ex.place is Place.ON_CORES), key=lambda ex: ex.answered).spared = True
         self._give_up_all(with_effects=False)
 
     def _tend_connections(self) -> None:
@@ -590,7 +589,8 @@
             self.out.close_idle(CLOSE_AFTER if close else 0)
 
     def _advise(self) -> None:
-        advice, away = self.server.advice, self.stalled or bool(self.leave_by)
+        advice = self.server.advice
+        away = self.stalled or bool(self.leave_by)
         if advice is Advice.NONE:
             return
         if advice is Advice.TOKENS:
--- a/lilacwalk/decisions/interface.py
+++ b/lilacwalk/decisions/interface.py
@@ -125,7 +125,6 @@
     started: int = 0
     call_since: int = 0
     call_wait: int = 0
-    spared: bool = False  # never stopped: its end tells that a standing server moves again
     called_unsure: bool = False  # a call ended in a way that does not prove it never ran
     kept: bool = False
     followers: list[Exchange] = field(default_factory=list)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -167,28 +167,6 @@
     assert host.whats("health")[-1] is True and not host.answers(host.arrive())
 
 
-def test_its_own_stops_do_not_look_like_work_that_moves(make_host):
-    host = make_host(stop_mode=StopMode.DROP)
-    host.controller.mean_run = 500
-    spared, stopped = host.arrive(), host.arrive()
-    host.wait(5_000)
-    assert host.controller.stalled and host.whats("stop") == [stopped]
-    host.finish(stopped, Ending.STOPPED)  # confirmed, though the cores stand still
-    assert host.controller.stalled and host.answers(host.arrive()) == ["deny"]
-    host.finish(spared, Ending.STOPPED)  # it came as far as its next call
-    assert not host.controller.stalled and host.whats("health")[-1] is True
-
-
-def test_one_run_that_hangs_for_good_does_not_keep_the_server_away(make_host):
-    host = make_host(stop_mode=StopMode.DROP)
-    host.controller.mean_run = 500
-    host.arrive()
-    host.wait(8_000)
-    assert host.controller.stalled
-    host.wait(30_000)
-    assert host.whats("health").count(True) >= 2
-
-
 def test_a_stall_of_the_whole_process_is_not_work_that_hangs(host):
     running = host.arrive()
     host.wait(500)
