--- a/lilacwalk/lifecycle/answering.py
+++ b/lilacwalk/lifecycle/answering.py
@@ -132,7 +132,9 @@
         self.close_idle_after = after
 
     def timer(self, after: int) -> None:
-        self.host.at(self.host.now + after, self.host.timer_due)
+        due = self.host.now + after
+        self.host.at(due - self.host.limits.gauge_lead, self.host.ask_for_gauges)
+        self.host.at(due, self.host.timer_due)
 
     def log(self, text: str) -> None:
         log.info("event=module text=%s", text.replace(" ", "_"))
--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -93,8 +93,10 @@
         heapq.heappush(self.due_times, (time, next(self.order), action, *arguments))
 
     def timer_due(self) -> None:
-        """The controller's own timer. It takes the gauges told last; the next ones are asked for now."""
+        """The controller's own timer. It takes the gauges told last and waits for none."""
         self.calls.append((self.controller.timer, *self.gauges))
+
+    def ask_for_gauges(self) -> None:
         if self.kernel_ready:
             self.kernel.put(kernel.gauges("g"))
 
--- a/lilacwalk/lifecycle/limits.py
+++ b/lilacwalk/lifecycle/limits.py
@@ -39,6 +39,7 @@
     relink_most: int = SECOND // 10  # ten tries a second cost nothing, and calls may wait for the next one
     index_idle: int = 8 * SECOND  # the other side closes after ten seconds
     connect: int = SECOND // 4  # on one machine connections open at once or not at all
+    gauge_lead: int = 30  # asked for 3 ms before they are used: some ten times what an answer takes
     # In hand and kept.
     in_hand: int = 4_096  # measured at 9 KB each with bodies of 2 KiB
     kept: int = 16_384
--- a/tests/test_app_server.py
+++ b/tests/test_app_server.py
@@ -191,6 +191,15 @@
     assert [router.answer()[::3] for _ in range(2)] == [(2, b"b"), (3, b"c")]
 
 
+def test_gauges_come_fresh_to_the_timer_and_are_not_waited_for(site):
+    for _ in range(2):
+        words, _ = site.kernel.expect("SYSINFO")
+        site.kernel.tell(f"INFO {words[1]} 0.625 3")
+    for _ in range(3):  # unanswered: the timer goes on with what was told last
+        site.kernel.expect("SYSINFO")
+    assert (site.deciding.controller.core_use, site.deciding.controller.run_queue) == (0.625, 3.0)
+
+
 def test_a_reply_sent_twice_and_rejected_does_not_end_a_run_that_goes_on(site):
     router = site.router()
     router.submit(1, "look")
