--- a/lilacwalk/lifecycle/answering.py
+++ b/lilacwalk/lifecycle/answering.py
@@ -32,7 +32,7 @@
     def send(self, connection: Connection, data: bytes) -> None:
         """A router that has stopped reading is cut off, before what it leaves unread fills the memory."""
         if not connection.cut and not connection.outbox.put(data):
-            log.warning("event=connection_ended reason=stopped_reading")
+            log.warning("event=connection_ended peer=%s reason=stopped_reading", connection.peer)
             connection.cut_off(reset=True)
 
     def say(self, connection: Connection, tag: int, word: bytes) -> None:
@@ -137,4 +137,4 @@
         self.host.at(due, self.host.timer_due)
 
     def log(self, text: str) -> None:
-        log.info("event=module text=%s", text.replace(" ", "_"))
+        log.info("event=module text=%r", text)
--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -174,7 +174,7 @@
         """Answered on its tag; told once a connection, or one that sends much of it fills the log."""
         if not connection.complained:
             connection.complained = True
-            log.warning("event=bad_message reason=%s", reason.replace(" ", "_"))
+            log.warning("event=bad_message peer=%s reason=%r", connection.peer, reason)
         if tag:
             self.out.say(connection, tag, b"error")
 
--- a/lilacwalk/wire/catalog.py
+++ b/lilacwalk/wire/catalog.py
@@ -18,4 +18,4 @@
         try:
             self.sock.sendto(f"alive {self.name} {'passing' if good else 'critical'}".encode(), self.address)
         except OSError as error:
-            log.debug("event=report_lost detail=%s", error)
+            log.debug("event=report_lost detail=%r", str(error))
--- a/lilacwalk/wire/index.py
+++ b/lilacwalk/wire/index.py
@@ -124,7 +124,7 @@
             sock = socket.create_connection(self.address, self.limits.connect / SECOND)
         except OSError as error:
             if self.pause == self.limits.relink_least:
-                log.warning("event=index_down detail=%s", error)
+                log.warning("event=index_down detail=%r", str(error))
             self.try_again = time.monotonic() + self.pause / SECOND
             self.pause = min(self.limits.relink_most, 2 * self.pause)
             return False
@@ -161,7 +161,7 @@
                 if replies:
                     self.inbox.put((self.on_replies, sock, replies))
         except FrameError as error:
-            log.warning("event=index_connection_ended reason=framing detail=%s", str(error))
+            log.warning("event=index_connection_ended reason=framing detail=%r", str(error))
         except OSError:
             pass
         except Exception:
--- a/lilacwalk/wire/kernel.py
+++ b/lilacwalk/wire/kernel.py
@@ -121,7 +121,7 @@
                 if fresh:
                     self.inbox.put((self.on_notices, outbox, fresh))
         except FrameError as error:
-            log.warning("event=kernel_link_ended reason=framing detail=%s", str(error))
+            log.warning("event=kernel_link_ended reason=framing detail=%r", str(error))
         except OSError:
             pass
         hang_up(sock)
--- a/lilacwalk/wire/routers.py
+++ b/lilacwalk/wire/routers.py
@@ -109,8 +109,9 @@
     """One router's connection. A thread reads it; what was read goes onto the deciding thread's queue in
     batches, a few at a time, so that a router that floods waits for itself."""
 
-    def __init__(self, sock: socket.socket, limits: Limits, inbox: SimpleQueue, door: Door) -> None:
-        self.sock, self.limits, self.inbox, self.door = sock, limits, inbox, door
+    def __init__(self, sock: socket.socket, peer: str, limits: Limits, inbox: SimpleQueue,
+                 door: Door) -> None:
+        self.sock, self.peer, self.limits, self.inbox, self.door = sock, peer, limits, inbox, door
         self.outbox = Outbox(sock, limits.outbox, "router")
         self.ahead = threading.Semaphore(limits.batches_ahead)
         self.cut = False
@@ -132,11 +133,11 @@
         try:
             self._read()
         except FrameError as error:
-            log.warning("event=connection_ended reason=framing detail=%s", str(error))
+            log.warning("event=connection_ended peer=%s reason=framing detail=%r", self.peer, str(error))
         except OSError:
             pass  # a reset is the router's right
         except Exception:
-            log.exception("event=thread_failed thread=router-reader")
+            log.exception("event=thread_failed thread=router-reader peer=%s", self.peer)
         finally:
             self.outbox.end()
             self.sock.close()
@@ -212,28 +213,28 @@
             while not self.shut_down:
                 self.room.acquire()
                 try:
-                    sock, _ = self.sock.accept()
+                    sock, (host, port) = self.sock.accept()
                 except OSError as error:
                     self.room.release()
                     if not self.shut_down:
-                        log.warning("event=accept_failed detail=%s", error)
+                        log.warning("event=accept_failed detail=%r", str(error))
                         threading.Event().wait(0.05)  # out of descriptors: not a busy loop
                     continue
-                self._take(sock)
+                self._take(sock, f"{host}:{port}")
         except Exception:
             log.exception("event=thread_failed thread=door")
             self.inbox.put((None, "the door failed"))
         finally:
             self.sock.close()
 
-    def _take(self, sock: socket.socket) -> None:
+    def _take(self, sock: socket.socket, peer: str) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection = Connection(sock, self.limits, self.inbox, self)
+        connection = Connection(sock, peer, self.limits, self.inbox, self)
         self.inbox.put((self.on_opened, connection))
         try:
             connection.start()
         except RuntimeError as error:  # no thread to be had: that one connection is not served
-            log.warning("event=connection_ended reason=no_thread detail=%s", error)
+            log.warning("event=connection_ended peer=%s reason=no_thread detail=%r", peer, str(error))
             sock.close()
             self.inbox.put((self.on_ended, connection))
             self.left()
--- a/tests/test_app_server.py
+++ b/tests/test_app_server.py
@@ -12,6 +12,7 @@
 from lilacwalk.lifecycle import serve
 from lilacwalk.lifecycle.deciding import PartFailedError
 from lilacwalk.lifecycle.limits import Limits
+from lilacwalk.lifecycle.log import KeyValue
 from lilacwalk.wire.index import Call, IndexLink
 from lilacwalk.wire.resp import encode
 
@@ -430,6 +431,17 @@
     assert run_once(site, router, 1, 1)[2][:2] == (1, "done")
 
 
+def test_bad_messages_are_told_once_a_connection_with_its_address(site, caplog):
+    router = site.router()
+    for tag in (1, 2, 3):
+        router.say(b"SING", b"%d" % tag)
+        assert router.answer()[:2] == (tag, "error")
+    told = [KeyValue().format(record) for record in caplog.records if "bad_message" in record.getMessage()]
+    assert len(told) == 1
+    peer = f"127.0.0.1:{router.sock.getsockname()[1]}"
+    assert told[0].endswith(f"event=bad_message peer={peer} reason='unknown verb'")
+
+
 @pytest.mark.parametrize("text", [None, "{", "[]", '{"settings": {}}', '{"settings": {"classes": [{}]}}'])
 def test_a_configuration_that_cannot_be_used_is_one_plain_line_and_exit_code_2(tmp_path, capsys, text):
     path = tmp_path / "config.json"
