Where the system has no thread to give, one connection ends and the process goes on

Found by reading: the writer thread is started by the deciding thread with a connection's first answer, and a refusal there would have ended the process; the index's reader likewise.

--- a/lilacwalk/wire/index.py
+++ b/lilacwalk/wire/index.py
@@ -134,8 +134,13 @@
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock = sock
-        threading.Thread(target=self._read, args=(sock,), name="index-reader", daemon=True).start()
-        return True
+        try:
+            threading.Thread(target=self._read, args=(sock,), name="index-reader", daemon=True).start()
+        except RuntimeError as error:
+            log.warning("event=no_thread detail=%r", str(error))
+            self.sock = None
+            sock.close()
+        return self.sock is not None
 
     def _send(self, sock: socket.socket, data: bytes) -> None:
         try:
--- a/lilacwalk/wire/outbox.py
+++ b/lilacwalk/wire/outbox.py
@@ -23,14 +23,24 @@
         self.thread: threading.Thread | None = None
 
     def put(self, data: bytes) -> bool:
-        """False where too much stands unsent already: the other side has stopped reading."""
+        """False where it cannot be sent: too much stands unsent, as the other side has stopped reading."""
         if self.taken - self.sent + len(data) + HEADER > self.limit:
             return False
+        if self.thread is None and not self._start():
+            return False
         self.taken += len(data) + HEADER
         self.queue.put(data)
-        if self.thread is None:
-            self.thread = threading.Thread(target=self._run, name=f"{self.name}-writer", daemon=True)
-            self.thread.start()
+        return True
+
+    def _start(self) -> bool:
+        """The deciding thread starts it, and must not fall with it where the system has no thread to give."""
+        thread = threading.Thread(target=self._run, name=f"{self.name}-writer", daemon=True)
+        try:
+            thread.start()
+        except RuntimeError as error:
+            log.warning("event=no_thread detail=%r", str(error))
+            return False
+        self.thread = thread
         return True
 
     @property
--- a/tests/test_app_server.py
+++ b/tests/test_app_server.py
@@ -2,6 +2,7 @@
 
 import signal
 import socket
+import threading
 import time
 from queue import Empty, SimpleQueue
 
@@ -147,6 +148,24 @@
     door.end()
 
 
+def test_where_no_thread_is_to_be_had_one_connection_ends_and_the_others_go_on(site, monkeypatch):
+    start, refused = threading.Thread.start, []
+
+    def no_writer(thread):
+        if thread.name == "router-writer" and not refused:
+            refused.append(thread)
+            raise RuntimeError("can't start new thread")
+        start(thread)
+    monkeypatch.setattr(threading.Thread, "start", no_writer)
+    router = site.router()
+    router.say(b"PROBE", b"1")
+    try:
+        assert router.answer() is None
+    except ConnectionResetError:
+        pass  # an end as good as the other
+    assert refused and run_once(site, site.router(), 1, 1)[2][:2] == (1, "done")
+
+
 def test_a_flood_of_connections_leaves_room_for_who_asks(make_site):
     site = make_site(limits={"connections": 12, "crowded": 8}).start()
     site.kernel = site.link()
