SIGHUP moves kernel, index and catalog to their new addresses under load

The file is read again and the three parties move; the tests fail without the handler or any of the moves.

--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -13,6 +13,7 @@
 from lilacwalk.decisions.interface import AppServer, Effect, Ending, Exchange
 from lilacwalk.lifecycle.answering import Answering
 from lilacwalk.lifecycle.clock import Clock
+from lilacwalk.lifecycle.handed import addresses, CannotUseError, read
 from lilacwalk.lifecycle.limits import Limits, SECOND
 from lilacwalk.memory.hand import Hand, InHand
 from lilacwalk.memory.kept import Kept
@@ -36,7 +37,7 @@
     def __init__(self, server: AppServer, limits: Limits, clock: Clock, inbox: SimpleQueue, door: Door,
                  kernel_link: KernelLink, index: IndexLink, catalog: Catalog) -> None:
         self.server, self.limits, self.clock, self.inbox = server, limits, clock, inbox
-        self.door, self.index, self.catalog = door, index, catalog
+        self.door, self.kernel_link, self.index, self.catalog = door, kernel_link, index, catalog
         self.now = clock.now()
         self.groups = {group.name: group for group in server.groups}
         self.customers = {customer.name: customer for customer in server.customers}
@@ -348,6 +349,24 @@
         each.call = None
         self.calls.append((self.controller.called, each.ex, ending, self.now - each.call_since))
 
+    # A new configuration
+
+    def reload(self, path: str) -> None:
+        """SIGHUP: the parties' new addresses, while exchanges, runs and notice numbers carry on. What else
+        stands in the file is for the next start; one that cannot be used changes nothing."""
+        try:
+            parties = addresses(read(path))
+        except CannotUseError as error:
+            log.warning("event=reload_failed detail=%r", str(error))
+            return
+        moved = []
+        for name, part in (("kernel", self.kernel_link), ("index", self.index), ("directory", self.catalog)):
+            if parties.get(name) != part.address:
+                part.move(parties.get(name))
+                moved.append(name)
+        log.info("event=reloaded moved=%s", ",".join(moved) or "none")
+        self.out.next_report = self.now  # a new catalog lists nobody until told
+
     # Leaving
 
     def leave(self) -> None:
--- /dev/null
+++ b/lilacwalk/lifecycle/handed.py
@@ -0,0 +1,47 @@
+"""The file that is handed over: read at start, and for its addresses at each SIGHUP."""
+
+from __future__ import annotations
+
+import json
+
+from lilacwalk.decisions.interface import AppServer
+from lilacwalk.handover import app_server, HandoverError
+from lilacwalk.lifecycle.limits import Limits
+
+
+class CannotUseError(Exception):
+    """Told in one line: on standard error at start, in the log later."""
+
+
+def read(path: str) -> dict:
+    try:
+        with open(path, encoding="utf-8") as file:
+            handed = json.load(file)
+    except OSError as error:
+        raise CannotUseError(f"configuration {path}: {error.strerror}") from None
+    except (ValueError, RecursionError) as error:
+        raise CannotUseError(f"configuration {path}: {error}") from None
+    if not isinstance(handed, dict) or not isinstance(handed.get("settings"), dict):
+        raise CannotUseError(f"configuration {path}: settings is missing")
+    return handed
+
+
+def address(handed: dict, name: str) -> tuple[str, int]:
+    host, sep, port = str(handed.get(name, "")).rpartition(":")
+    if not sep or not host or not port.isdecimal() or int(port) > 65535:
+        raise CannotUseError(f"configuration: {name}={handed.get(name)} is no host:port")
+    return host, int(port)
+
+
+def addresses(handed: dict) -> dict[str, tuple[str, int]]:
+    """Where all the parties are; a site whose exchanges make no calls has no index."""
+    names = ("listen", "kernel", "directory") + (("index",) if handed.get("index") else ())
+    return {name: address(handed, name) for name in names}
+
+
+def decode(handed: dict) -> tuple[AppServer, Limits]:
+    """The app server as the controller knows it, and the limits of its sockets."""
+    try:
+        return app_server(handed["settings"], int(str(handed.get("seed", "0")), 16)), Limits.given(handed)
+    except (HandoverError, ValueError, AttributeError, TypeError) as error:
+        raise CannotUseError(f"configuration: {error}") from None
--- a/lilacwalk/lifecycle/serve.py
+++ b/lilacwalk/lifecycle/serve.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import logging
 import signal
 import sys
@@ -10,10 +9,10 @@
 from dataclasses import replace
 from queue import SimpleQueue
 
-from lilacwalk.handover import app_server, HandoverError, row, section
+from lilacwalk.handover import row, section
 from lilacwalk.lifecycle.clock import Clock
 from lilacwalk.lifecycle.deciding import Deciding
-from lilacwalk.lifecycle.limits import Limits
+from lilacwalk.lifecycle.handed import addresses, CannotUseError, decode, read
 from lilacwalk.wire.catalog import Catalog
 from lilacwalk.wire.index import IndexLink
 from lilacwalk.wire.kernel import KernelLink
@@ -24,44 +23,6 @@
 SWITCH = 0.001  # seconds a busy thread may keep the others waiting: answers are short, so often is cheap
 
 
-class CannotStartError(Exception):
-    """Told in one line on standard error."""
-
-
-def read(path: str) -> dict:
-    try:
-        with open(path, encoding="utf-8") as file:
-            handed = json.load(file)
-    except OSError as error:
-        raise CannotStartError(f"configuration {path}: {error.strerror}") from None
-    except ValueError as error:
-        raise CannotStartError(f"configuration {path}: {error}") from None
-    if not isinstance(handed, dict) or not isinstance(handed.get("settings"), dict):
-        raise CannotStartError(f"configuration {path}: settings is missing")
-    return handed
-
-
-def address(handed: dict, name: str) -> tuple[str, int]:
-    host, sep, port = str(handed.get(name, "")).rpartition(":")
-    if not sep or not host or not port.isdigit() or int(port) > 65535:
-        raise CannotStartError(f"configuration: {name}={handed.get(name)} is no host:port")
-    return host, int(port)
-
-
-def addresses(handed: dict) -> dict[str, tuple[str, int]]:
-    """Where all the parties are; a site whose exchanges make no calls has no index."""
-    names = ("listen", "kernel", "directory") + (("index",) if handed.get("index") else ())
-    return {name: address(handed, name) for name in names}
-
-
-def decode(handed: dict) -> tuple:
-    """The app server as the controller knows it, and the limits of its sockets."""
-    try:
-        return app_server(handed["settings"], int(str(handed.get("seed", "0")), 16)), Limits.given(handed)
-    except (HandoverError, ValueError, AttributeError, TypeError) as error:
-        raise CannotStartError(f"configuration: {error}") from None
-
-
 def build(handed: dict, inbox: SimpleQueue, **other_limits: int) -> tuple[Deciding, list]:
     """The deciding thread's object, and the parts whose threads are to be started."""
     server, limits = decode(handed)
@@ -70,7 +31,7 @@
     try:
         door = Door(parties["listen"], limits, inbox)
     except OSError as error:
-        raise CannotStartError(f"cannot listen on {handed['listen']}: {error.strerror}") from None
+        raise CannotUseError(f"cannot listen on {handed['listen']}: {error.strerror}") from None
     gauge_names = [str(name) for name in row(section(handed["settings"], "family_info"), "gauges")]
     kernel_link = KernelLink(parties["kernel"], limits, inbox, gauge_names)
     index = IndexLink(parties.get("index"), limits, inbox)
@@ -83,9 +44,11 @@
     threading.stack_size(STACK)
     sys.setswitchinterval(SWITCH)
     inbox: SimpleQueue = SimpleQueue()
+    # Before the file is read: a change that comes while starting waits in the queue, and is read again.
+    signal.signal(signal.SIGHUP, lambda *_: inbox.put((lambda: deciding.reload(path),)))
     try:
         deciding, threads = build(read(path), inbox)
-    except CannotStartError as error:
+    except CannotUseError as error:
         print(f"lilacwalk: {error}", file=sys.stderr)
         return 2
     signal.signal(signal.SIGTERM, lambda *_: inbox.put((deciding.leave,)))
@@ -106,7 +69,7 @@
         handed = read(path)
         server, limits = decode(handed)
         parties = addresses(handed)
-    except CannotStartError as error:
+    except CannotUseError as error:
         print(f"lilacwalk: {error}", file=sys.stderr)
         return 2
     print(f"name={handed.get('name', '')} " + " ".join(f"{k}={h}:{p}" for k, (h, p) in parties.items()))
--- a/lilacwalk/wire/catalog.py
+++ b/lilacwalk/wire/catalog.py
@@ -14,6 +14,9 @@
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.setblocking(False)  # a full buffer loses the report, never holds up who reports
 
+    def move(self, address: tuple[str, int]) -> None:
+        self.address = address
+
     def report(self, good: bool) -> None:
         try:
             self.sock.sendto(f"alive {self.name} {'passing' if good else 'critical'}".encode(), self.address)
--- a/lilacwalk/wire/index.py
+++ b/lilacwalk/wire/index.py
@@ -68,6 +68,12 @@
             self.orders.put((begun, b"STOP %b\r\n" % call.ident.encode()))
         return begun is None
 
+    def move(self, address: tuple[str, int] | None) -> None:
+        """New calls go there at once; those on the old connection end there, as far as it lets them."""
+        with self.lock:
+            self.address, self.sock = address, None
+        self.try_again = 0.0
+
     def end(self) -> None:
         self.over = True
         self.rest()
--- a/lilacwalk/wire/kernel.py
+++ b/lilacwalk/wire/kernel.py
@@ -81,6 +81,12 @@
         if self.sock is not None:
             hang_up(self.sock)
 
+    def move(self, address: tuple[str, int]) -> None:
+        """A new link at once; what the old one may have lost is sent again as after any lost link."""
+        self.address = address
+        if self.sock is not None:
+            hang_up(self.sock)
+
     def start(self) -> None:
         threading.Thread(target=self._run, name="kernel-reader", daemon=True).start()
 
@@ -88,21 +94,25 @@
         pause = self.limits.relink_least
         try:
             while not self.over.is_set():
-                told = self._link()
+                address = self.address
+                told = self._link(address)
                 pause = self.limits.relink_least if told else min(self.limits.relink_most, 2 * pause)
-                self.over.wait(pause / SECOND)
+                if address == self.address:  # one that has moved is sought at once
+                    self.over.wait(pause / SECOND)
         except Exception:  # without the kernel nothing runs: the process ends, and is seen to
             log.exception("event=thread_failed thread=kernel-reader")
             self.inbox.put((None, "the kernel's reader failed"))
 
-    def _link(self) -> bool:
+    def _link(self, address: tuple[str, int]) -> bool:
         """One link from its opening to its end; whether anything came over it."""
         told = False
         try:
-            sock = socket.create_connection(self.address, self.limits.connect / SECOND)
+            sock = socket.create_connection(address, self.limits.connect / SECOND)
         except OSError:
             return False
         self.sock = sock
+        if address != self.address:
+            hang_up(sock)
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         outbox = Outbox(sock, self.limits.link_outbox, "kernel")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -200,6 +200,7 @@
                        "limits": {"sockets": 512}, "settings": SETTINGS | (settings or {})} | where | handed
         self.path = tmp_path / "config.json"
         self.limits, self.process, self.thread = limits or {}, None, None
+        self.moved = [self.kernel_port, self.index_port]
 
     def start(self):
         """In this process, the deciding thread beside the test's own."""
@@ -219,6 +220,15 @@
                                         env=os.environ | {"ROUTER_CONFIG": str(self.path)}, text=True)
         return self
 
+    def move(self, *names):
+        """These parties at new addresses, and the file that says so."""
+        for name in names:
+            port = socket.create_server(("127.0.0.1", 0))
+            self.moved.append(port)
+            self.handed[name] = plain(port.getsockname())
+            setattr(self, f"{name}_port", port)
+        self.path.write_text(json.dumps(self.handed | {"listen": plain(self.address)}))
+
     def link(self, state="steady", ready=True):
         """The kernel's side of a link that was just opened, past its fence."""
         kernel = Lines(self.kernel_port, ("SCHED", "IODONE"))
@@ -243,7 +253,7 @@
             self.thread.join(PATIENCE)
             for part in self.parts:  # or one of them might reach the ports of another test
                 part.end()
-        for sock in (self.kernel_port, self.index_port, self.catalog):
+        for sock in (*self.moved, self.catalog):
             sock.close()
 
 
--- a/tests/test_app_server.py
+++ b/tests/test_app_server.py
@@ -7,7 +7,7 @@
 from queue import Empty, SimpleQueue
 
 import pytest
-from conftest import PATIENCE, SETTINGS
+from conftest import PATIENCE, plain, SETTINGS
 
 from lilacwalk.decisions.interface import Ending
 from lilacwalk.lifecycle import serve
@@ -418,6 +418,46 @@
     assert site.process.wait(PATIENCE) == 0 and time.monotonic() - begun < 1.5
 
 
+def test_a_new_configuration_moves_kernel_and_index_and_what_runs_carries_on(make_site):
+    site = make_site().spawn()
+    kernel = site.link()
+    router = site.router()
+    router.submit(1, "look", i="00000000000000aa")
+    kernel.expect("SCHED")
+    kernel.tell("IOREQ 1 00000000000000aa 1", b"?")
+    old = site.calls()
+    old.expect("GET")
+    site.move("kernel", "index")
+    site.process.send_signal(signal.SIGHUP)
+    kernel = site.link()
+    assert kernel.opened == ["OPEN", "1"]
+    old.tell("00000000000000aa HIT 1", b"!")  # a call that was open ends where it was made
+    assert kernel.expect("IODONE") == (["IODONE", "00000000000000aa", "1"], b"!")
+    kernel.tell("IOREQ 2 00000000000000aa 1", b"2")
+    new = site.calls()
+    assert new.expect("GET")[1] == b"2"
+    site.path.write_text("{")
+    site.process.send_signal(signal.SIGHUP)  # half written: what holds stays in force
+    site.process.send_signal(signal.SIGHUP)
+    new.tell("00000000000000aa HIT 1", b"!")
+    assert kernel.expect("IODONE")
+    kernel.tell("REAP 3 00000000000000aa success 9 1", b"r")
+    assert router.answer()[1::2] == ("done", b"r")
+
+
+def test_a_new_catalog_is_told_at_once(make_site):
+    site = make_site(limits={"report_every": 600_000}).start()
+    site.link()
+    assert site.catalog.recv(100) == b"alive n1 passing"
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as catalog:
+        catalog.bind(("127.0.0.1", 0))
+        catalog.settimeout(PATIENCE)
+        site.handed["directory"] = plain(catalog.getsockname())
+        site.move()
+        site.deciding.inbox.put((site.deciding.reload, site.path))
+        assert catalog.recv(100) == b"alive n1 passing"
+
+
 def test_a_second_notice_to_leave_changes_nothing(make_site):
     site = make_site(stop_ms=60_000).start()
     site.link()
@@ -473,7 +513,7 @@
 
 def test_an_address_in_use_is_one_plain_line(make_site):
     handed = make_site().handed
-    with pytest.raises(serve.CannotStartError, match="cannot listen"):
+    with pytest.raises(serve.CannotUseError, match="cannot listen"):
         serve.build(handed | {"listen": handed["kernel"]}, SimpleQueue())
 
 
