--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -215,13 +215,14 @@
             self.customer_counts[customer] = 0
         counts = self.caller_counts.items()
         self.caller_counts = {caller: seen * 0.8 for caller, seen in counts if seen > 0.05}
+        known = {None, *self.caller_counts}  # callers restart under new numbers: what they were goes with them
+        self.patience_seen = {who: seen for who, seen in self.patience_seen.items() if who[0] in known}
         self._tend_connections()
         idle = self._room()
         if not self.finished_in_tick and not idle:
             return
         mean_t = self.t_sum / self.t_count if self.t_count else T_REF / 2
-        if self.finished_in_tick:
-            self.mean_slo = self.slo_sum / self.finished_in_tick  # A
+        self.mean_slo = self.slo_sum / self.finished_in_tick if self.finished_in_tick else self.mean_slo  # A
         if idle:
             # Departure: with p_a near its floor too little finishes to bring T down again, and a server with
             # free cores would go on denying for good. Free cores count as half the target, whatever T says.
@@ -583,10 +584,9 @@
         """Idle connections tax the cores and fill the table until callers find no room. They pay only where
         callers come back soon: with far more callers than a server sees in seconds, each is closed after its
         answer. Hurts where opening costs much and the table is large."""
-        close = self.returning < (0.6 if self.closes_idle else 0.4)
-        if close != self.closes_idle:
-            self.closes_idle = close
-            self.out.close_idle(CLOSE_AFTER if close else 0)
+        if (self.returning < (0.6 if self.closes_idle else 0.4)) != self.closes_idle:
+            self.closes_idle = not self.closes_idle
+            self.out.close_idle(CLOSE_AFTER if self.closes_idle else 0)
 
     def _advise(self) -> None:
         advice = self.server.advice
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,10 +5,11 @@
 import os
 import socket
 import subprocess
-import sys
 import threading
 import time
+import tomllib
 from itertools import count
+from pathlib import Path
 from queue import SimpleQueue
 
 import pytest
@@ -94,6 +95,7 @@
     return group(name="once", effect=Effect.DEDUPLICATED)
 
 
+ROOT = Path(__file__).parent.parent
 PATIENCE = 10.0  # seconds until a stand-in that hears nothing gives up: a failure, never a wait
 SETTINGS = {  # SLO times, and the silence of work that stands still, lie beyond PATIENCE: they end no story
     "classes": [
@@ -216,8 +218,9 @@
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.address = free.getsockname()
         self.path.write_text(json.dumps(self.handed | {"listen": plain(self.address)}))
-        self.process = subprocess.Popen([sys.executable, "-m", "lilacwalk", "serve"], stderr=subprocess.PIPE,
-                                        env=os.environ | {"ROUTER_CONFIG": str(self.path)}, text=True)
+        run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+        self.process = subprocess.Popen(["/bin/sh", "-c", run], stderr=subprocess.PIPE, cwd=ROOT, text=True,
+                                        env=os.environ | {"ROUTER_CONFIG": str(self.path)})
         return self
 
     def move(self, *names):
--- a/tests/test_app_server.py
+++ b/tests/test_app_server.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+from pathlib import Path
 from queue import Empty, SimpleQueue
 
 import pytest
@@ -148,6 +149,17 @@
     door.end()
 
 
+def test_threads_share_one_heap_so_that_none_keeps_what_another_freed(make_site):
+    site = make_site().spawn()
+    site.link()
+    routers = [site.router() for _ in range(20)]
+    for router in routers:
+        router.say(b"PROBE", b"1")
+        assert router.answer()[:2] == (1, "healthy")
+    kb = int(Path(f"/proc/{site.process.pid}/statm").read_text().split()[0]) * 4
+    assert kb < 400_000  # a heap of its own reserves 64 MB for each thread
+
+
 def test_where_no_thread_is_to_be_had_one_connection_ends_and_the_others_go_on(site, monkeypatch):
     start, refused = threading.Thread.start, []
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -209,3 +209,11 @@
     host.round((host.controller.timer, 0.0, 0.0))
     host.wait(40_000)
     assert all(len(host.answers(ex)) == 1 for ex in exes)
+
+
+def test_what_callers_were_is_forgotten_with_them(host):
+    for caller in range(200):
+        host.arrive(caller=caller)
+        host.arrive(caller=caller)
+    host.wait(600_000)
+    assert not [who for who in host.controller.patience_seen if who[0] is not None]
