--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -215,7 +215,7 @@
             self.customer_counts[customer] = 0
         counts = self.caller_counts.items()
         self.caller_counts = {caller: seen * 0.8 for caller, seen in counts if seen > 0.05}
-        known = {None, *self.caller_counts}  # callers restart under new numbers: what they were goes with them
+        known = {None, *self.caller_counts}  # callers restart under new numbers: what they were goes too
         self.patience_seen = {who: seen for who, seen in self.patience_seen.items() if who[0] in known}
         self._tend_connections()
         idle = self._room()
