--- a/lilacwalk/lifecycle/answering.py
+++ b/lilacwalk/lifecycle/answering.py
@@ -31,7 +31,7 @@
 
     def send(self, connection: Connection, data: bytes) -> None:
         """A router that has stopped reading is cut off, before what it leaves unread fills the memory."""
-        if not connection.cut and not connection.outbox.put(data):
+        if not connection.cut and not self.host.send(connection.outbox, data):
             log.warning("event=connection_ended peer=%s reason=stopped_reading", connection.peer)
             connection.cut_off(reset=True)
 
@@ -60,7 +60,7 @@
         new one, those that are kept are sent again."""
         each.unsure.extend(commands)
         for command in commands or each.unsure:
-            if self.host.kernel_ready and not self.host.kernel.put(command):
+            if self.host.kernel_ready and not self.host.send(self.host.kernel, command):
                 hang_up(self.host.kernel.sock)  # nothing reads there: a new link begins with what is unsure
 
     # The controller's decisions
--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -46,6 +46,7 @@
         self.due_times: list[tuple] = []
         self.order = count()
         self.calls: list[tuple] = []  # for the controller, of this pass
+        self.unsent: dict[Outbox, None] = {}  # what was put into these in this pass
         self.controller: Controller | None = None  # until the kernel is up nothing can be decided
         self.out = Answering(self)
         self.gauges = (1.0, float(server.cores))  # core use and run queue; full until told
@@ -77,6 +78,14 @@
         if self.controller is not None and self.calls:
             calls, self.calls = self.calls, []
             self.controller.round(self.now, calls, self.out)
+        unsent, self.unsent = self.unsent, {}
+        for outbox in unsent:
+            outbox.flush()
+
+    def send(self, outbox: Outbox, data: bytes) -> bool:
+        """Leaves at the end of this pass, with all else for the same socket."""
+        self.unsent[outbox] = None
+        return outbox.put(data)
 
     def _drain(self) -> list[tuple]:
         wait = max(0, self.due_times[0][0] - self.clock.now()) if self.due_times else SECOND
@@ -97,7 +106,7 @@
 
     def ask_for_gauges(self) -> None:
         if self.kernel_ready:
-            self.kernel.put(kernel.gauges("g"))
+            self.send(self.kernel, kernel.gauges("g"))
 
     def _look_around(self) -> None:
         """Work that no message starts: the report, idle connections, keys whose time is over."""
@@ -122,6 +131,9 @@
     def _ended(self, connection: Connection) -> None:
         """Its callers are gone with it."""
         self.connections.pop(connection, None)
+        connection.cut = True
+        connection.outbox.end()
+        self.door.left()
         for each in list(connection.open.values()):
             self._gone(each)
 
@@ -222,9 +234,10 @@
 
     def _linked(self, outbox: Outbox, opening: bytes) -> None:
         self.kernel, self.kernel_ready, self.fence = outbox, False, ""
-        outbox.put(opening)
+        self.send(outbox, opening)
 
     def _lost(self, outbox: Outbox) -> None:
+        outbox.end()
         if self.kernel is outbox:
             log.warning("event=kernel_link_lost in_hand=%d", len(self.hand))
             self.kernel, self.kernel_ready = None, False
@@ -255,7 +268,7 @@
                 self.calls.append((self.controller.leave, self.stop_at - self.limits.flush))
         self.fences += 1
         self.fence = f"fence{self.fences}"
-        self.kernel.put(kernel.gauges(self.fence))
+        self.send(self.kernel, kernel.gauges(self.fence))
 
     def _told_gauges(self, tag: str, values: dict[str, float]) -> None:
         self.gauges = values.get("core_use", 1.0), values.get("on_cores", float(self.server.cores))
--- a/lilacwalk/wire/kernel.py
+++ b/lilacwalk/wire/kernel.py
@@ -136,6 +136,4 @@
             pass
         hang_up(sock)
         self.inbox.put((self.on_lost, outbox))
-        outbox.end()
-        sock.close()
         return told
--- a/lilacwalk/wire/outbox.py
+++ b/lilacwalk/wire/outbox.py
@@ -1,4 +1,4 @@
-"""What waits to be sent on one socket, and the thread that sends it."""
+"""What waits to be sent on one socket."""
 
 from __future__ import annotations
 
@@ -6,32 +6,52 @@
 import socket
 import struct
 import threading
-from queue import Empty, SimpleQueue
+from queue import SimpleQueue
 
 log = logging.getLogger(__name__)
 HEADER = 64  # what Python keeps of one message beside its bytes: many short ones weigh more than they say
 
 
 class Outbox:
-    """Only one thread puts, only the writer thread sends: each has a count of its own, so no lock is needed.
-    The writer starts with the first message, since many connections never carry one."""
+    """Only one thread puts and flushes. What the system takes at once leaves with the flush, which never
+    waits; the rest is a writer thread's, started when it is first needed: most connections never need one,
+    and it costs memory, and a change of threads for every answer. Each of the two threads has a count of its
+    own, so no lock is needed."""
 
     def __init__(self, sock: socket.socket, limit: int, name: str) -> None:
         self.sock, self.limit, self.name = sock, limit, name
         self.taken = self.sent = 0
-        self.queue: SimpleQueue[bytes | None] = SimpleQueue()
+        self.pending: list[bytes] = []
+        self.queue: SimpleQueue[tuple[bytes | memoryview, int] | None] = SimpleQueue()
         self.thread: threading.Thread | None = None
 
     def put(self, data: bytes) -> bool:
         """False where it cannot be sent: too much stands unsent, as the other side has stopped reading."""
         if self.taken - self.sent + len(data) + HEADER > self.limit:
             return False
-        if self.thread is None and not self._start():
-            return False
         self.taken += len(data) + HEADER
-        self.queue.put(data)
+        self.pending.append(data)
         return True
 
+    def flush(self) -> None:
+        pieces, self.pending = self.pending, []
+        if not pieces:
+            return
+        data = pieces[0] if len(pieces) == 1 else b"".join(pieces)
+        weight, done = len(data) + HEADER * len(pieces), 0
+        if self.taken - weight == self.sent:  # nothing is ahead of it in the writer's hands
+            try:
+                done = self.sock.send(data, socket.MSG_DONTWAIT)
+            except BlockingIOError:
+                pass
+            except OSError:
+                hang_up(self.sock)  # the reader of this connection sees it end, and tells
+                return
+        if done == len(data):
+            self.taken -= weight
+        elif self.thread is not None or self._start():
+            self.queue.put((memoryview(data)[done:], weight))
+
     def _start(self) -> bool:
         """The deciding thread starts it, and must not fall with it where the system has no thread to give."""
         thread = threading.Thread(target=self._run, name=f"{self.name}-writer", daemon=True)
@@ -39,6 +59,7 @@
             thread.start()
         except RuntimeError as error:
             log.warning("event=no_thread detail=%r", str(error))
+            hang_up(self.sock)
             return False
         self.thread = thread
         return True
@@ -48,36 +69,30 @@
         return self.taken == self.sent
 
     def end(self) -> None:
-        """Ends the writer and its socket, what stands unsent is dropped."""
+        """Ends the writer and the socket, what stands unsent is dropped. The thread that flushes does it, and
+        no other closes the socket: so no number of a closed one can be sent to."""
         hang_up(self.sock)
-        self.queue.put(None)
-        if self.thread is not None and self.thread is not threading.current_thread():
+        if self.thread is not None:
+            self.queue.put(None)
             self.thread.join()
+        self.sock.close()
 
     def _run(self) -> None:
         try:
-            while True:
-                pieces = [self.queue.get()]
-                try:
-                    while len(pieces) < 64:
-                        pieces.append(self.queue.get_nowait())
-                except Empty:
-                    pass
-                if None in pieces:
-                    return
-                data = b"".join(pieces) if len(pieces) > 1 else pieces[0]
+            while (order := self.queue.get()) is not None:
+                data, weight = order
                 self.sock.sendall(data)
-                self.sent += len(data) + HEADER * len(pieces)
+                self.sent += weight
         except OSError:
-            hang_up(self.sock)  # the reader of this connection sees it end, and tells
+            hang_up(self.sock)
         except Exception:
             log.exception("event=thread_failed thread=%s", threading.current_thread().name)
             hang_up(self.sock)
 
 
 def hang_up(sock: socket.socket, reset: bool = False) -> None:
-    """Wakes whoever reads or writes it. Closing is left to its reader: no descriptor is used twice. After a
-    reset the system drops at its closing what the other side would never take; else both ends may linger."""
+    """Wakes whoever reads or writes it; closing it is its owner's. After a reset the system drops at its
+    closing what the other side would never take; else both ends may linger."""
     try:
         if reset:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/lilacwalk/wire/routers.py
+++ b/lilacwalk/wire/routers.py
@@ -139,10 +139,8 @@
         except Exception:
             log.exception("event=thread_failed thread=router-reader peer=%s", self.peer)
         finally:
-            self.outbox.end()
-            self.sock.close()
+            hang_up(self.sock)
             self.inbox.put((self.door.on_ended, self))
-            self.door.left()
 
     def _read(self) -> None:
         limits = self.limits
@@ -235,6 +233,4 @@
             connection.start()
         except RuntimeError as error:  # no thread to be had: that one connection is not served
             log.warning("event=connection_ended peer=%s reason=no_thread detail=%r", peer, str(error))
-            sock.close()
             self.inbox.put((self.on_ended, connection))
-            self.left()
--- a/tests/test_app_server.py
+++ b/tests/test_app_server.py
@@ -160,21 +160,28 @@
     assert kb < 400_000  # a heap of its own reserves 64 MB for each thread
 
 
-def test_where_no_thread_is_to_be_had_one_connection_ends_and_the_others_go_on(site, monkeypatch):
+def test_an_answer_that_the_system_takes_at_once_needs_no_thread_of_its_own(site):
+    router = site.router()
+    assert run_once(site, router, 1, 1, b"x" * 4096)[2][:2] == (1, "done")
+    assert not {"router-writer", "kernel-writer"} & {each.name for each in threading.enumerate()}
+
+
+@pytest.mark.parametrize("name", ["router-reader", "router-writer"])
+def test_where_no_thread_is_to_be_had_one_connection_ends_and_the_others_go_on(make_site, monkeypatch, name):
+    site = make_site(limits={"buffer": 4_096}).start()
+    site.kernel = site.link()
     start, refused = threading.Thread.start, []
 
-    def no_writer(thread):
-        if thread.name == "router-writer" and not refused:
+    def no_thread(thread):
+        if thread.name == name and not refused:
             refused.append(thread)
             raise RuntimeError("can't start new thread")
         start(thread)
-    monkeypatch.setattr(threading.Thread, "start", no_writer)
-    router = site.router()
-    router.say(b"PROBE", b"1")
-    try:
-        assert router.answer() is None
-    except ConnectionResetError:
-        pass  # an end as good as the other
+    monkeypatch.setattr(threading.Thread, "start", no_thread)
+    router, probes = site.router(), b"".join(encode(b"PROBE", b"%d" % tag) for tag in range(1, 200))
+    with pytest.raises((ConnectionResetError, BrokenPipeError)):
+        for _ in range(20_000):  # whose answers are not read
+            router.sock.sendall(probes)
     assert refused and run_once(site, site.router(), 1, 1)[2][:2] == (1, "done")
 
 
