--- a/lilacwalk/lifecycle/answering.py
+++ b/lilacwalk/lifecycle/answering.py
@@ -5,7 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
-from lilacwalk.decisions.interface import Ending, Exchange
+from lilacwalk.decisions.interface import Effect, Ending, Exchange
 from lilacwalk.memory.hand import InHand
 from lilacwalk.wire import kernel, routers
 from lilacwalk.wire.index import Call
@@ -25,7 +25,6 @@
         self.value: float | None = None  # the free value; None: nothing is said
         self.close_idle_after = 0
         self.next_report = 0
-        self.last_call = 0
 
     # What both the controller's decisions and the host's own handlers use
 
@@ -113,8 +112,9 @@
     def call(self, ex: Exchange, give_up_at: int) -> None:
         host = self.host
         each = host.hand.by_exchange[ex]
-        each.call = Call(each.id, max(1, (give_up_at - host.now) // 10), each.call_body)
-        each.call_since = self.last_call = host.now
+        once = ex.group.effect is not Effect.REPEATABLE
+        each.call = Call(each.id, max(1, (give_up_at - host.now) // 10), each.call_body, once)
+        each.call_since = host.now
         host.index.make(each.call)
         host.at(give_up_at, host.call_timed_out, each, each.call)
 
--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -19,7 +19,7 @@
 from lilacwalk.memory.kept import Kept
 from lilacwalk.wire import kernel, routers
 from lilacwalk.wire.catalog import Catalog
-from lilacwalk.wire.index import IndexLink
+from lilacwalk.wire.index import Call, Index, Line
 from lilacwalk.wire.kernel import KernelLink
 from lilacwalk.wire.outbox import Outbox
 from lilacwalk.wire.routers import Asked, Connection, Door
@@ -35,7 +35,7 @@
     """Each pass drains all that came, gives it to the controller as one round and sends what was decided."""
 
     def __init__(self, server: AppServer, limits: Limits, clock: Clock, inbox: SimpleQueue, door: Door,
-                 kernel_link: KernelLink, index: IndexLink, catalog: Catalog) -> None:
+                 kernel_link: KernelLink, index: Index, catalog: Catalog) -> None:
         self.server, self.limits, self.clock, self.inbox = server, limits, clock, inbox
         self.door, self.kernel_link, self.index, self.catalog = door, kernel_link, index, catalog
         self.now = clock.now()
@@ -58,7 +58,7 @@
         door.on_opened, door.on_messages, door.on_ended = self._opened, self._messages, self._ended
         kernel_link.on_linked, kernel_link.on_notices = self._linked, self._notices
         kernel_link.on_lost = self._lost
-        index.on_replies, index.on_refused, index.on_broken = self._replies, self._refused, self._broken
+        index.on_over = self._call_ended
 
     def run(self) -> None:
         self.at(self.now, self._look_around)
@@ -116,9 +116,7 @@
             self.catalog.report(self.out.healthy)
             self.kept.sweep(self.now)
         self._close_idle()
-        quiet = self.now - self.out.last_call > self.limits.index_idle
-        if quiet and self.index.sock is not None and not any(each.call for each in self.hand.by_id.values()):
-            self.index.rest()
+        self.index.rest(self.now - self.limits.index_idle)
 
     # Routers
 
@@ -332,26 +330,14 @@
 
     # The index
 
-    def _replies(self, sock, replies: list[tuple]) -> None:
-        self.out.last_call = self.now
-        for ident, ending, body in replies:
-            each = self.hand.by_id.get(ident)
-            if each is None or each.call is None or each.call.connection is not sock:
-                continue
-            if ending is Ending.OK and each.connection is not None:
-                self.out.command(each, kernel.reply(ident, bytes(body)))
-            self._call_over(each, ending)
-
-    def _refused(self, refused: list) -> None:
-        for call in refused:
-            each = self.hand.by_id.get(call.ident)
-            if each is not None and each.call is call:
-                self._call_over(each, Ending.UNREACHABLE)
-
-    def _broken(self, sock) -> None:
-        for each in list(self.hand.by_id.values()):
-            if each.call is not None and each.call.connection is sock:
-                self._call_over(each, Ending.BROKEN_OFF)
+    def _call_ended(self, line: Line | None, call: Call, ending: Ending, body: bytes) -> None:
+        self.index.over(line, self.now)
+        each = self.hand.by_id.get(call.ident)
+        if each is None or each.call is not call:
+            return
+        if ending is Ending.OK and each.connection is not None:
+            self.out.command(each, kernel.reply(call.ident, body))
+        self._call_over(each, ending)
 
     def call_timed_out(self, each: InHand, call) -> None:
         if each.call is call:
--- a/lilacwalk/lifecycle/limits.py
+++ b/lilacwalk/lifecycle/limits.py
@@ -17,6 +17,7 @@
     crowded: int  # from here on the longest idle are closed, so that some room is left at all times
     stop: int  # from the notice to leave until the process is killed
     fresh: int  # how long a read's result may answer others; 0: never
+    index_lines: int  # connections to the index at once, one call on each; calls beyond these wait
     routers_idle: int  # routers drop their own idle connections after this
     # Routers.
     open_exchanges: int = 32  # on one connection, as the protocol says
@@ -33,7 +34,7 @@
     # Kernel and index: their messages are longer than the routers' by a few words.
     link_read: int = 65_536
     line: int = 512
-    reply: int = 1_048_576
+    reply: int = 65_536  # results are 4 KiB at most; more than this is no reply, but a length gone wrong
     link_outbox: int = 8_388_608  # a party on the same machine that leaves this much unread is gone
     relink_least: int = SECOND // 50  # a lost link is tried again soon, then less often:
     relink_most: int = SECOND // 10  # ten tries a second cost nothing, and calls may wait for the next one
@@ -62,5 +63,6 @@
             crowded=sockets // 2 + SPARE_SOCKETS // 2,
             stop=early(number(handed, "stop_ms", 3000.0)),
             fresh=early(number(info, "fresh_ms", 0.0)),
+            index_lines=SPARE_SOCKETS // 2,
             routers_idle=late(number(info, "caller_idle_ms", 30_000.0)),
         )
--- a/lilacwalk/lifecycle/serve.py
+++ b/lilacwalk/lifecycle/serve.py
@@ -14,7 +14,7 @@
 from lilacwalk.lifecycle.deciding import Deciding
 from lilacwalk.lifecycle.handed import addresses, CannotUseError, decode, read
 from lilacwalk.wire.catalog import Catalog
-from lilacwalk.wire.index import IndexLink
+from lilacwalk.wire.index import Index
 from lilacwalk.wire.kernel import KernelLink
 from lilacwalk.wire.routers import Door
 
@@ -34,10 +34,10 @@
         raise CannotUseError(f"cannot listen on {handed['listen']}: {error.strerror}") from None
     gauge_names = [str(name) for name in row(section(handed["settings"], "family_info"), "gauges")]
     kernel_link = KernelLink(parties["kernel"], limits, inbox, gauge_names)
-    index = IndexLink(parties.get("index"), limits, inbox)
+    index = Index(parties.get("index"), limits, inbox)
     catalog = Catalog(parties["directory"], str(handed.get("name", "")))
     deciding = Deciding(server, limits, Clock(), inbox, door, kernel_link, index, catalog)
-    return deciding, [door, kernel_link, index]
+    return deciding, [door, kernel_link]
 
 
 def serve(path: str) -> int:
--- a/lilacwalk/wire/index.py
+++ b/lilacwalk/wire/index.py
@@ -1,4 +1,4 @@
-"""The index: calls to it over one connection, opened when a call needs it."""
+"""The index: calls to it, one at a time on each of a few connections."""
 
 from __future__ import annotations
 
@@ -6,8 +6,9 @@
 import socket
 import threading
 import time
+from collections import deque
 from collections.abc import Callable
-from queue import Empty, SimpleQueue
+from queue import SimpleQueue
 
 from lilacwalk.decisions.interface import Ending
 from lilacwalk.lifecycle.limits import Limits, SECOND
@@ -21,14 +22,16 @@
 
 
 class Call:
-    """One call. Until its first byte may have left, whoever gives it up knows that it never ran."""
+    """One call. Until its first byte may have left, whoever gives it up knows that it never ran. One that
+    must not be made twice takes a new connection: where one that stood idle breaks under a call, nothing
+    tells whether the other side had forgotten it or took the call."""
 
-    __slots__ = ("ident", "message", "connection", "dropped")
+    __slots__ = ("ident", "message", "once", "begun_on", "dropped")
 
-    def __init__(self, ident: str, wait_ms: int, body: bytes) -> None:
-        self.ident = ident
+    def __init__(self, ident: str, wait_ms: int, body: bytes, once: bool = False) -> None:
+        self.ident, self.once = ident, once
         self.message = b"GET %b %d %d\r\n%b\r\n" % (ident.encode(), wait_ms, len(body), body)
-        self.connection: socket.socket | None = None
+        self.begun_on: socket.socket | None = None
         self.dropped = False
 
 
@@ -36,147 +39,184 @@
     return len(words) == 3 and words[1] == "HIT"
 
 
-class IndexLink:
-    """A thread connects and writes; a thread for each connection reads. A refused connection is answered to
-    the calls that wait for it; the next is not tried before a pause, so that a dependency that is down
-    costs no busy loop, and calls made meanwhile wait for that try or their own time limit."""
+class Line:
+    """One connection and the thread that makes the calls on it: what spoils, silences or breaks it costs one
+    call. A reply under another id than the call's is passed over, whoever sent it; a second copy could be
+    taken for the answer to the next call of the same exchange, so that one goes over a new connection."""
+
+    def __init__(self, index: Index) -> None:
+        self.index, self.limits = index, index.limits
+        self.orders: SimpleQueue[Call | None] = SimpleQueue()
+        self.sock: socket.socket | None = None
+        self.address: tuple[str, int] | None = None
+        self.parser: LineParser
+        self.last_ident = ""
+        self.free_since = 0  # the deciding thread's own
+
+    def start(self) -> None:
+        threading.Thread(target=self._run, name="index-line", daemon=True).start()
+
+    def _run(self) -> None:
+        while (call := self.orders.get()) is not None:
+            ending, body = Ending.BROKEN_OFF, b""
+            try:
+                ending, body = self._make(call)
+            except FrameError as error:
+                self.index.spoilt(error)
+            except OSError:
+                pass
+            except Exception:
+                log.exception("event=thread_failed thread=index-line")
+            if ending is Ending.BROKEN_OFF:
+                self._close()
+            self.index.inbox.put((self.index.on_over, self, call, ending, body))
+        self._close()
+
+    def _make(self, call: Call) -> tuple[Ending, bytes]:
+        used = call.once or call.ident == self.last_ident or self.address != self.index.address
+        if self.sock is not None and (used or not self._sound()):
+            self._close()
+        if self.sock is None and not self._connect():
+            return Ending.UNREACHABLE, b""
+        with self.index.lock:
+            if call.dropped:
+                return Ending.UNREACHABLE, b""
+            call.begun_on = self.sock
+        self.last_ident = call.ident
+        self.sock.sendall(call.message)
+        while chunk := self.sock.recv(self.limits.link_read):
+            for ident, ending, body in self._replies(chunk):
+                if ident == call.ident:
+                    return ending, body
+        return Ending.BROKEN_OFF, b""
+
+    def _replies(self, chunk: bytes) -> list[tuple[str, Ending, bytes]]:
+        replies = []
+        for words, body in self.parser.feed(chunk):
+            sound = len(words) == 2 and words[1] in ENDINGS and words[1] != "HIT" or body is not None
+            if not sound:
+                raise FrameError(f"'{' '.join(words)[:60]}' is no reply")
+            replies.append((words[0], ENDINGS[words[1]], b"" if body is None else bytes(body)))
+        return replies
+
+    def _sound(self) -> bool:
+        """Whether the other side has left it open. What came unasked since the last call is read past."""
+        try:
+            chunk = self.sock.recv(self.limits.link_read, socket.MSG_DONTWAIT)
+            self._replies(chunk)
+            return bool(chunk)
+        except BlockingIOError:
+            return True
+        except (OSError, FrameError):
+            return False
+
+    def _connect(self) -> bool:
+        """Where the last try failed, the next one waits: a dependency that is down costs no busy loop."""
+        index = self.index
+        time.sleep(max(0.0, min(index.try_again - time.monotonic(), index.limits.relink_most / SECOND)))
+        address = index.address
+        try:
+            if address is None:
+                raise OSError("this site has no index")
+            self.sock = socket.create_connection(address, self.limits.connect / SECOND)
+        except OSError as error:
+            index.down(error)
+            return False
+        index.up()
+        self.address, self.last_ident = address, ""
+        self.sock.settimeout(None)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.parser = LineParser(has_body, self.limits.line, self.limits.reply)
+        return True
+
+    def _close(self) -> None:
+        """Gives up whatever call is on it."""
+        if self.sock is not None:
+            hang_up(self.sock)
+            with self.index.lock:  # nobody else is just hanging it up
+                self.sock.close()
+            self.sock = None
+
+
+class Index:
+    """The lines, kept by the deciding thread: the one that has rested longest makes the next call, so that
+    none stands idle long enough to be forgotten while there is work."""
 
     def __init__(self, address: tuple[str, int] | None, limits: Limits, inbox: SimpleQueue) -> None:
         self.address, self.limits, self.inbox = address, limits, inbox
-        self.on_replies: Callable
-        self.on_refused: Callable
-        self.on_broken: Callable
-        self.orders: SimpleQueue = SimpleQueue()
+        self.on_over: Callable
         self.lock = threading.Lock()  # between the beginning of a call and its being given up
-        self.sock: socket.socket | None = None
-        self.try_again, self.pause = 0.0, limits.relink_least
-        self.waiting: list[Call] = []
-        self.over = False
+        self.free: deque[Line] = deque()
+        self.lines = 0
+        self.waiting: deque[Call] = deque()  # for a line
+        self.try_again, self.pause, self.spoilt_count = 0.0, limits.relink_least, 0
 
-    def start(self) -> None:
-        threading.Thread(target=self._run, name="index-writer", daemon=True).start()
+    def move(self, address: tuple[str, int] | None) -> None:
+        """New calls go there at once; those that are made end where they were made."""
+        self.address, self.try_again = address, 0.0
 
     def make(self, call: Call) -> None:
-        self.orders.put(call)
+        if not self.free and self.lines < self.limits.index_lines:
+            line = Line(self)
+            try:
+                line.start()
+                self.lines += 1
+                self.free.append(line)
+            except RuntimeError as error:
+                log.warning("event=no_thread detail=%r", str(error))
+                if not self.lines:
+                    self.inbox.put((self.on_over, None, call, Ending.UNREACHABLE, b""))
+                    return
+        if self.free:
+            self.free.popleft().orders.put(call)
+        else:
+            self.waiting.append(call)
 
     def give_up(self, call: Call) -> bool:
-        """Whether it is sure that the call never ran."""
+        """Whether it is sure that the call never ran. Its connection ends with it: it may have gone mute."""
         with self.lock:
             call.dropped = True
-            begun = call.connection
-        if begun is not None:
-            self.orders.put((begun, b"STOP %b\r\n" % call.ident.encode()))
-        return begun is None
-
-    def move(self, address: tuple[str, int] | None) -> None:
-        """New calls go there at once; those on the old connection end there, as far as it lets them."""
-        with self.lock:
-            self.address, self.sock = address, None
-        self.try_again = 0.0
+            if call.begun_on is not None:
+                hang_up(call.begun_on)
+        return call.begun_on is None
+
+    def over(self, line: Line | None, now: int) -> None:
+        """The line's call has ended, however: the next one, or a rest."""
+        while self.waiting and self.waiting[0].dropped:
+            self.waiting.popleft()
+        if line is None:
+            return
+        if self.waiting:
+            line.orders.put(self.waiting.popleft())
+        else:
+            line.free_since = now
+            self.free.append(line)
+
+    def rest(self, before: int) -> None:
+        """Those idle since before then are closed, before the other side would."""
+        while self.free and self.free[0].free_since < before:
+            self.free.popleft().orders.put(None)
+            self.lines -= 1
 
     def end(self) -> None:
-        self.over = True
-        self.rest()
+        while self.free:
+            self.free.popleft().orders.put(None)
 
-    def rest(self) -> None:
-        """Nothing is in hand and nothing was for a while: closed before the other side would."""
-        self.orders.put(None)
+    # Told by the lines' threads
 
-    def _run(self) -> None:
-        try:
-            while not self.over:
-                try:
-                    wait = max(0.0, self.try_again - time.monotonic()) if self.waiting else None
-                    order = self.orders.get(timeout=wait)
-                except Empty:
-                    order = ()
-                if order is None:
-                    if (sock := self.sock) is not None:
-                        self._lose(sock)
-                elif isinstance(order, Call):
-                    self.waiting.append(order)
-                elif order and order[0] is self.sock:
-                    self._send(*order)
-                if self.waiting and (self.sock is not None or time.monotonic() >= self.try_again):
-                    self._begin_waiting()
-        except Exception:
-            log.exception("event=thread_failed thread=index-writer")
-            self.inbox.put((None, "the index's writer failed"))
-
-    def _begin_waiting(self) -> None:
-        calls, self.waiting = self.waiting, []
-        calls = [call for call in calls if not call.dropped]
-        if not calls:
-            return
-        if self.sock is None and not self._connect():
-            self.inbox.put((self.on_refused, calls))
-            return
-        begun = []
-        with self.lock:
-            if self.sock is None:  # it broke just now, and its reader has told of it already
-                self.waiting = calls
-                return
-            for call in calls:
-                if not call.dropped:
-                    call.connection = self.sock
-                    begun.append(call.message)
-            sock = self.sock
-        self._send(sock, b"".join(begun))
+    def down(self, error: OSError) -> None:
+        if self.pause == self.limits.relink_least:
+            log.warning("event=index_down detail=%r", str(error))
+        self.try_again = time.monotonic() + self.pause / SECOND
+        self.pause = min(self.limits.relink_most, 2 * self.pause)
 
-    def _connect(self) -> bool:
-        try:
-            if self.address is None:
-                raise OSError("this site has no index")
-            sock = socket.create_connection(self.address, self.limits.connect / SECOND)
-        except OSError as error:
-            if self.pause == self.limits.relink_least:
-                log.warning("event=index_down detail=%r", str(error))
-            self.try_again = time.monotonic() + self.pause / SECOND
-            self.pause = min(self.limits.relink_most, 2 * self.pause)
-            return False
+    def up(self) -> None:
         if self.pause != self.limits.relink_least:
             log.info("event=index_up")
         self.pause = self.limits.relink_least
-        sock.settimeout(None)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.sock = sock
-        try:
-            threading.Thread(target=self._read, args=(sock,), name="index-reader", daemon=True).start()
-        except RuntimeError as error:
-            log.warning("event=no_thread detail=%r", str(error))
-            self.sock = None
-            sock.close()
-        return self.sock is not None
 
-    def _send(self, sock: socket.socket, data: bytes) -> None:
-        try:
-            sock.sendall(data)
-        except OSError:
-            self._lose(sock)  # its reader tells which calls broke with it
-
-    def _lose(self, sock: socket.socket) -> None:
-        hang_up(sock)
-        with self.lock:
-            if self.sock is sock:
-                self.sock = None
-
-    def _read(self, sock: socket.socket) -> None:
-        parser = LineParser(has_body, self.limits.line, self.limits.reply)
-        try:
-            while chunk := sock.recv(self.limits.link_read):
-                replies = []
-                for words, body in parser.feed(chunk):
-                    if len(words) < 2 or words[1] not in ENDINGS:
-                        raise FrameError(f"'{' '.join(words)[:60]}' is no reply")
-                    replies.append((words[0], ENDINGS[words[1]], b"" if body is None else body))
-                if replies:
-                    self.inbox.put((self.on_replies, sock, replies))
-        except FrameError as error:
-            log.warning("event=index_connection_ended reason=framing detail=%r", str(error))
-        except OSError:
-            pass
-        except Exception:
-            log.exception("event=thread_failed thread=index-reader")
-        self._lose(sock)  # before it is told: no call begins on it any more
-        self.inbox.put((self.on_broken, sock))
-        sock.close()
+    def spoilt(self, error: FrameError) -> None:
+        """Told at the first, second, fourth, eighth: few lines, however many there are."""
+        self.spoilt_count += 1
+        if not self.spoilt_count & (self.spoilt_count - 1):
+            log.warning("event=index_reply_spoilt count=%d detail=%r", self.spoilt_count, str(error))
--- a/lilacwalk/wire/lines.py
+++ b/lilacwalk/wire/lines.py
@@ -41,7 +41,7 @@
                 continue
             if not self.has_body(words):
                 messages.append((words, None))
-            elif not words[-1].isdigit() or int(words[-1]) > self.body:
+            elif not (words[-1].isascii() and words[-1].isdigit()) or int(words[-1]) > self.body:
                 raise FrameError(f"'{' '.join(words)[:60]}' has no usable length")
             else:
                 self.words, self.size = words, int(words[-1])
