--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -123,6 +123,8 @@
     def _opened(self, connection: Connection) -> None:
         connection.last_used = self.now
         self.connections[connection] = None
+        if len(self.connections) > self.limits.crowded:
+            self._make_room()
         if self.stop_at and self.door.shut_down:
             self._ask_to_close(connection)
 
@@ -141,6 +143,9 @@
             return
         connection.last_used = self.now
         for verb, tag, about in messages:
+            connection.sound = connection.sound or bool(verb)
+            if connection.cut:
+                return
             if verb == "SUBMIT":
                 self._asked(connection, tag, about)
             elif verb == "WITHDRAW":
@@ -153,7 +158,8 @@
 
     def _asked(self, connection: Connection, tag: int, asked: Asked) -> None:
         if tag in connection.open:
-            self._bad(connection, 0, "tag used twice")  # the one answer that it gets is the first one's
+            self._bad(connection, 0, "tag used twice")
+            connection.cut_off()  # whichever were answered, its sender could take it for the other
             return
         group = self.groups.get(asked.group)
         customer = self.customers.get(asked.customer)
@@ -182,10 +188,9 @@
         self.calls.append((self.controller.arrive, ex))
 
     def _bad(self, connection: Connection, tag: int, reason: str) -> None:
-        """Answered on its tag; told once a connection, or one that sends much of it fills the log."""
-        if not connection.complained:
-            connection.complained = True
-            log.warning("event=bad_message peer=%s reason=%r", connection.peer, reason)
+        """Answered on its tag, and told like all that peers do wrong: few lines, however many there are."""
+        if count := self.door.bad_messages.due():
+            log.warning("event=bad_message count=%d peer=%s reason=%r", count, connection.peer, reason)
         if tag:
             self.out.say(connection, tag, b"error")
 
@@ -207,20 +212,31 @@
             self.forget(each, None)
 
     def _close_idle(self) -> None:
-        """Those that the controller wants closed; and where a flood fills the table, the longest idle go at
-        once, so that who has something to ask finds room."""
+        """Those that the controller wants closed. And at once those that say nothing after they connected, or
+        stop in the middle of a message: they are no routers, and would take the routers' places."""
         now = self.now
         after = self.out.close_idle_after or self.limits.routers_idle
-        idle = [each for each in self.connections if not each.open]
-        for each in idle:
-            if each.closing_since:
+        for each in self.connections:
+            if (each.begun or not each.sound) and now - each.last_used > self.limits.message:
+                each.cut_off()
+            elif each.open:
+                continue
+            elif each.closing_since:
                 if now - each.closing_since > self.limits.closing:
                     each.cut_off()
             elif now - each.last_used > after:
                 self._ask_to_close(each)
-        too_many = len(self.connections) - self.limits.crowded
-        if too_many > 0:
-            for each in sorted(idle, key=lambda each: each.last_used)[:too_many]:
+        self._make_room()
+
+    def _make_room(self) -> None:
+        """Where a flood fills the table, those that never said anything go first, then the longest idle, last
+        the new ones: who has something to ask finds room, also while its question is on its way."""
+        standing = [each for each in self.connections if not each.cut]
+        if (too_many := len(standing) - self.limits.crowded) > 0:
+            idle = [each for each in standing if not each.open]
+            new = self.now - self.limits.young
+            idle.sort(key=lambda each: (1 if each.sound else 2 * (each.last_used > new), each.last_used))
+            for each in idle[:too_many]:
                 each.cut_off()
 
     def _ask_to_close(self, connection: Connection) -> None:
@@ -304,8 +320,11 @@
     def _rejected(self, command: str, ident: str) -> None:
         """The run of a command that was not carried out may hang: it is answered, and its run given up. What
         was sent twice may be known, and its run go on: then its end or its due time decides."""
-        log.error("event=command_rejected command=%s id=%s", command, ident)
         each = self.hand.by_id.get(ident)
+        if each is not None and each.connection is not None and command == "SCHED":
+            self._bad(each.connection, 0, "an exchange that the kernel does not know")
+        elif command != "SCHED":
+            log.error("event=command_rejected command=%s id=%s", command, ident)
         if each is not None and command in ("SCHED", "IODONE", "NOIO") and not each.sent_again:
             self.out.answer(each, b"error")
             self.calls.append((self.controller.finished, each.ex, Ending.MOOT))
--- a/lilacwalk/lifecycle/limits.py
+++ b/lilacwalk/lifecycle/limits.py
@@ -13,8 +13,8 @@
 @dataclass(frozen=True)
 class Limits:
     # Given.
-    connections: int  # routers open half the descriptor limit at most; some more while others end
-    crowded: int  # from here on the longest idle are closed, so that some room is left at all times
+    connections: int  # routers open half the descriptor limit at most: the rest is room for who is none
+    crowded: int  # from here on some are closed, so that some room is left at all times
     stop: int  # from the notice to leave until the process is killed
     fresh: int  # how long a read's result may answer others; 0: never
     index_lines: int  # connections to the index at once, one call on each; calls beyond these wait
@@ -30,7 +30,9 @@
     batches_ahead: int = 2  # read from one connection and not yet decided on
     buffer: int = 65_536  # of the system, each way: 32 open exchanges; it counts as memory too
     outbox: int = 163_840  # 32 results of 4 KiB with their fields; a router that lets more stand is cut off
-    backlog: int = 128  # connections not yet accepted
+    backlog: int = 1_024  # connections not yet accepted: who finds it full comes again a second later
+    message: int = SECOND  # to the first whole one from connecting, and to its end from where one began
+    young: int = SECOND // 5  # connected so recently that the first message may well be on its way
     # Kernel and index: their messages are longer than the routers' by a few words.
     link_read: int = 65_536
     line: int = 512
@@ -59,8 +61,8 @@
         if sockets < 4 * SPARE_SOCKETS:
             raise HandoverError(f"sockets={sockets} leaves no room for routers")
         return cls(
-            connections=sockets // 2 + SPARE_SOCKETS,
-            crowded=sockets // 2 + SPARE_SOCKETS // 2,
+            connections=sockets - SPARE_SOCKETS,
+            crowded=sockets - SPARE_SOCKETS - SPARE_SOCKETS // 2,
             stop=early(number(handed, "stop_ms", 3000.0)),
             fresh=early(number(info, "fresh_ms", 0.0)),
             index_lines=SPARE_SOCKETS // 2,
--- a/lilacwalk/lifecycle/log.py
+++ b/lilacwalk/lifecycle/log.py
@@ -19,6 +19,19 @@
         return line.replace("\n", " ")
 
 
+class Tally:
+    """Counts what peers do wrong and says when to tell: at the first, second, fourth, eighth, so that no peer
+    fills the log. Several threads may count; a line more or less is no matter."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def due(self) -> int:
+        """The count where a line is due, else 0."""
+        self.count += 1
+        return 0 if self.count & (self.count - 1) else self.count
+
+
 def start_logging(level: int) -> None:
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(KeyValue())
--- a/lilacwalk/wire/index.py
+++ b/lilacwalk/wire/index.py
@@ -12,6 +12,7 @@
 
 from lilacwalk.decisions.interface import Ending
 from lilacwalk.lifecycle.limits import Limits, SECOND
+from lilacwalk.lifecycle.log import Tally
 from lilacwalk.wire.lines import LineParser
 from lilacwalk.wire.outbox import hang_up
 from lilacwalk.wire.resp import FrameError
@@ -149,7 +150,8 @@
         self.free: deque[Line] = deque()
         self.lines = 0
         self.waiting: deque[Call] = deque()  # for a line
-        self.try_again, self.pause, self.spoilt_count = 0.0, limits.relink_least, 0
+        self.try_again, self.pause = 0.0, limits.relink_least
+        self.spoilt_replies = Tally()
 
     def move(self, address: tuple[str, int] | None) -> None:
         """New calls go there at once; those that are made end where they were made."""
@@ -216,7 +218,5 @@
         self.pause = self.limits.relink_least
 
     def spoilt(self, error: FrameError) -> None:
-        """Told at the first, second, fourth, eighth: few lines, however many there are."""
-        self.spoilt_count += 1
-        if not self.spoilt_count & (self.spoilt_count - 1):
-            log.warning("event=index_reply_spoilt count=%d detail=%r", self.spoilt_count, str(error))
+        if count := self.spoilt_replies.due():
+            log.warning("event=index_reply_spoilt count=%d detail=%r", count, str(error))
--- a/lilacwalk/wire/outbox.py
+++ b/lilacwalk/wire/outbox.py
@@ -59,7 +59,7 @@
             thread.start()
         except RuntimeError as error:
             log.warning("event=no_thread detail=%r", str(error))
-            hang_up(self.sock)
+            hang_up(self.sock, reset=True)
             return False
         self.thread = thread
         return True
--- a/lilacwalk/wire/resp.py
+++ b/lilacwalk/wire/resp.py
@@ -21,6 +21,11 @@
         self.size = -1  # of the part begun; -1: its length is not read yet
         self.to_skip = 0
 
+    @property
+    def begun(self) -> bool:
+        """Whether part of a message has come and its end is still due."""
+        return bool(self.rest or self.missing)
+
     def feed(self, chunk: bytes) -> Iterator[list[memoryview | None]]:
         """Message by message, so that hundreds of short ones in a chunk never stand decoded at once."""
         data = self.rest + chunk if self.rest else chunk
--- a/lilacwalk/wire/routers.py
+++ b/lilacwalk/wire/routers.py
@@ -12,11 +12,13 @@
 
 from lilacwalk.handover import early, late
 from lilacwalk.lifecycle.limits import Limits
+from lilacwalk.lifecycle.log import Tally
 from lilacwalk.wire.outbox import hang_up, Outbox
 from lilacwalk.wire.resp import encode, FrameError, Parser
 
 log = logging.getLogger(__name__)
-LEAST_KB = 1e-6  # an exchange that takes no memory is a mistake
+LEAST_KB, MOST_KB = 1e-6, 2_000 - 1e-6  # above 0 and under 2,000, as the protocol says
+BELOW_1 = math.nextafter(1.0, 0.0)
 LONGEST_WAIT_MS = 3_600_000.0  # numbers beyond an hour are no times that a caller waits
 
 
@@ -69,7 +71,7 @@
     ident = fields.get("i", "")
     if len(ident) != 16 or not all(digit in "0123456789abcdef" for digit in ident):
         raise BadMessageError("i is not 16 hex digits")
-    number(fields, "p", 0.0, 1.0, 0.0)  # not used by any decision, yet no message with a wrong one is sound
+    number(fields, "p", 0.0, BELOW_1, 0.0)  # decides nothing, yet with a wrong one no message is sound
     return Asked(
         id=ident,
         group=str(parts[2], "utf-8", "replace"),
@@ -78,7 +80,7 @@
         arrived=late(number(fields, "s", 0, 1e14)),
         wait=early(number(fields, "d", -LONGEST_WAIT_MS, LONGEST_WAIT_MS)) if "d" in fields else None,
         work_hint=late(number(fields, "h", 0, LONGEST_WAIT_MS, 0.0)),
-        hold_kb=number(fields, "m", LEAST_KB, 1e6),
+        hold_kb=number(fields, "m", LEAST_KB, MOST_KB),
         retry=fields.get("r") in ("1", "true"),
         subject=fields.get("o", ""),
         key=fields.get("k", ""),
@@ -115,11 +117,12 @@
         self.outbox = Outbox(sock, limits.outbox, "router")
         self.ahead = threading.Semaphore(limits.batches_ahead)
         self.cut = False
+        self.begun = False  # a message whose end is still due
         # The deciding thread's own.
         self.open: dict = {}  # exchanges in hand by tag
         self.last_used = 0
         self.closing_since = 0  # 0: not asked to close
-        self.complained = False
+        self.sound = False  # a message was understood: before that nobody knows who this is
 
     def start(self) -> None:
         threading.Thread(target=self._run, name="router-reader", daemon=True).start()
@@ -133,7 +136,9 @@
         try:
             self._read()
         except FrameError as error:
-            log.warning("event=connection_ended peer=%s reason=framing detail=%r", self.peer, str(error))
+            if count := self.door.bad_framing.due():
+                log.warning("event=connection_ended count=%d peer=%s reason=framing detail=%r",
+                            count, self.peer, str(error))
         except OSError:
             pass  # a reset is the router's right
         except Exception:
@@ -154,6 +159,7 @@
                     messages = []
             if messages:
                 self._hand_over(messages)
+            self.begun = parser.begun
 
     def _hand_over(self, messages: list[tuple]) -> None:
         self.ahead.acquire()
@@ -185,6 +191,7 @@
         self.on_ended: Callable
         self.room = threading.Semaphore(limits.connections)
         self.shut_down = False
+        self.bad_messages, self.bad_framing = Tally(), Tally()
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         for buffer in (socket.SO_RCVBUF, socket.SO_SNDBUF):  # connections inherit them
