--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -85,7 +85,7 @@
         self.customer_rates: dict[Customer, float] = {each: 0.0 for each in server.customers}
         self.caller_counts: dict[int, float] = {}
         self.returning = 1.0  # part of the arrivals whose caller came here within the last seconds
-        self.closes_idle = self.stalled = False
+        self.closes_idle = self.stalled = self.deaf = False
         # How unlike callers are is unknown at first: a warm server starts generous, a cold one does not.
         self.level, self.said, self.ease = 0.0, -1.0, 1.0 if server.just_started else EASE_MOST
         self.grace_end = self.leave_by = 0  # 0: no notice to leave yet
@@ -176,6 +176,10 @@
         self.at_calls.append(ex)
         ex.called_unsure = ex.called_unsure or not ending.never_ran
 
+    def linked(self, up: bool) -> None:
+        """While nothing can be heard of the work, silence is no sign that it stands still."""
+        self.deaf, self.last_progress = not up, self.now
+
     def leave(self, stop: int) -> None:
         """The notice to leave: steer callers away, and end shortly before the stop what is unanswered."""
         self.grace_end = self.now + self.server.drain_grace
@@ -378,17 +382,14 @@
         if ex.group.effect is not Effect.REPEATABLE and (ex.ran or first and first.ran):
             self.out.terminate(ex)
         else:
-            self.out.deny(ex, self._come_back(), not_elsewhere)
+            away = 1.0 if self.stalled or self.leave_by else 1 - self.p_a
+            self.out.deny(ex, int(self.server.come_back_max * away), not_elsewhere)
         ex.answered = True
         if ex.place in (Place.HELD, Place.JOINED):
             self._over(ex)
         else:
             self._stop(ex)
 
-    def _come_back(self) -> int:
-        away = self.stalled or self.leave_by
-        return int(self.server.come_back_max * (1 if away else 1 - self.p_a))
-
     def _stop(self, ex: Exchange) -> None:
         """Work that serves nobody is stopped, unless a repeat may still be answered from it."""
         may = ex.group.effect is Effect.REPEATABLE and self.server.stop_mode is not StopMode.NONE
@@ -568,7 +569,7 @@
     def _watch_progress(self) -> None:
         """Work that stands still while reading goes on, whatever the cause: what is in hand is worth more
         elsewhere, so it is denied at once and callers are told to stay away until anything moves."""
-        if self.stalled or not self.on_cores:
+        if self.stalled or self.deaf or not self.on_cores:
             return
         longest = max(self.run_times.values(), default=self.mean_run)  # a lone long run is no silence
         gap = longest / min(self.on_cores, self.server.cores) / self._least_speed()
@@ -596,8 +597,9 @@
         if advice is Advice.TOKENS:
             value = 0.0 if away else self._tokens()
         elif advice is Advice.MIN_RANK:
-            # From what a light server takes to where little would still be in time.
-            wanted = (self._expected_t() - 0.15) / 0.5
+            # T of what would be sent now, from what a light server takes to where little would be in time.
+            line = sum(ex.work for ex in self.held) / self.limit
+            wanted = ((self.unread_wait + line + self.mean_run) / self.mean_slo - 0.15) / 0.5
             self.level += 0.3 * (min(1.0, max(0.0, wanted)) - self.level)
             value = 1.0 if away else self.level
         else:
@@ -607,11 +609,6 @@
             self.said = value
             self.out.advise(value)
 
-    def _expected_t(self) -> float:
-        """T of what would be sent now: unread, in the line, running."""
-        line = sum(ex.work for ex in self.held) / self.limit
-        return (self.unread_wait + line + self.mean_run) / self.mean_slo
-
     def _tokens(self) -> float:
         """What can be answered within the target time, split as the heaviest caller's part asks."""
         in_hand = self.limit * TOKENS_PART * max(1.0, T_REF * self.mean_slo / max(1.0, self.mean_run))
--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -255,6 +255,8 @@
         if self.kernel is outbox:
             log.warning("event=kernel_link_lost in_hand=%d", len(self.hand))
             self.kernel, self.kernel_ready = None, False
+            if self.controller is not None:
+                self.calls.append((self.controller.linked, False))
 
     def _notices(self, outbox: Outbox, notices: list[tuple]) -> None:
         for what, notice, *details in notices:
@@ -288,6 +290,7 @@
         self.gauges = values.get("core_use", 1.0), values.get("on_cores", float(self.server.cores))
         if tag == self.fence and not self.kernel_ready:
             self.kernel_ready, self.fence = True, ""
+            self.calls.append((self.controller.linked, True))
             again = [each for each in self.hand.by_id.values() if each.unsure]
             if again:
                 log.info("event=commands_sent_again exchanges=%d", len(again))
--- a/lilacwalk/lifecycle/limits.py
+++ b/lilacwalk/lifecycle/limits.py
@@ -48,7 +48,7 @@
     kept: int = 16_384
     kept_bytes: int = 16_777_216
     # Times.
-    report_every: int = 9 * SECOND // 10  # listed for 3 s after a report: stays so with two of them lost
+    report_every: int = 3 * SECOND // 10  # listed for 3 s after a report: nine lost in a row are no chance
     look_at_idle: int = SECOND // 20  # a fifth of the shortest idle time that is asked for in practice
     flush: int = 3 * SECOND // 10  # kept back from the time to leave, for answers on their way
     closing: int = 2 * SECOND  # how long a router may take to close what it was asked to
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -167,6 +167,16 @@
     assert host.whats("health")[-1] is True and not host.answers(host.arrive())
 
 
+def test_work_that_cannot_be_heard_of_is_not_work_that_stands_still(host):
+    host.arrive(), host.arrive()
+    host.round((host.controller.linked, False))
+    host.wait(18_000)
+    assert not host.controller.stalled
+    host.round((host.controller.linked, True))
+    host.wait(18_000)
+    assert host.controller.stalled
+
+
 def test_a_stall_of_the_whole_process_is_not_work_that_hangs(host):
     running = host.arrive()
     host.wait(500)
