--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -138,7 +138,7 @@
             self._gone(each)
 
     def _messages(self, connection: Connection, messages: list[tuple]) -> None:
-        connection.ahead.release()
+        connection.ahead.put(None)
         if connection.cut:
             return
         connection.last_used = self.now
--- a/lilacwalk/lifecycle/limits.py
+++ b/lilacwalk/lifecycle/limits.py
@@ -25,7 +25,7 @@
     parts: int = 8  # of one message: five are in use, a few more may come with a later protocol
     part: int = 16_384  # a longer part is skipped, not stored
     skipped: int = 1_048_576  # a part beyond this ends the connection
-    read: int = 4_096  # bytes taken from a router's socket at once: a message is a few hundred mostly
+    read: int = 2_048  # bytes taken from a router's socket at once: a message is a few hundred mostly
     batch: int = 32  # messages handed over at once: more are never open on one connection
     batches_ahead: int = 2  # read from one connection and not yet decided on
     buffer: int = 65_536  # of the system, each way: 32 open exchanges; it counts as memory too
@@ -34,7 +34,9 @@
     message: int = SECOND  # to the first whole one from connecting, and to its end from where one began
     young: int = SECOND // 5  # connected so recently that the first message may well be on its way
     # Kernel and index: their messages are longer than the routers' by a few words.
-    link_read: int = 65_536
+    # Each read's buffer is cut down to what came, and what is cut off rarely serves the next one: large reads
+    # leave the heap full of holes. Notices and replies are a few hundred bytes.
+    link_read: int = 4_096
     line: int = 512
     reply: int = 65_536  # results are 4 KiB at most; more than this is no reply, but a length gone wrong
     link_outbox: int = 8_388_608  # a party on the same machine that leaves this much unread is gone
--- a/lilacwalk/wire/outbox.py
+++ b/lilacwalk/wire/outbox.py
@@ -18,11 +18,13 @@
     and it costs memory, and a change of threads for every answer. Each of the two threads has a count of its
     own, so no lock is needed."""
 
+    __slots__ = ("sock", "limit", "name", "taken", "sent", "pending", "queue", "thread")
+
     def __init__(self, sock: socket.socket, limit: int, name: str) -> None:
         self.sock, self.limit, self.name = sock, limit, name
         self.taken = self.sent = 0
         self.pending: list[bytes] = []
-        self.queue: SimpleQueue[tuple[bytes | memoryview, int] | None] = SimpleQueue()
+        self.queue: SimpleQueue[tuple[bytes | memoryview, int] | None] | None = None
         self.thread: threading.Thread | None = None
 
     def put(self, data: bytes) -> bool:
@@ -54,6 +56,7 @@
 
     def _start(self) -> bool:
         """The deciding thread starts it, and must not fall with it where the system has no thread to give."""
+        self.queue = SimpleQueue()
         thread = threading.Thread(target=self._run, name=f"{self.name}-writer", daemon=True)
         try:
             thread.start()
--- a/lilacwalk/wire/resp.py
+++ b/lilacwalk/wire/resp.py
@@ -13,6 +13,8 @@
     """Takes chunks as they were read, cut anywhere. Parts are slices of those chunks; copy what must outlive
     them. A part over the limit is skipped and stands as None."""
 
+    __slots__ = ("most_parts", "most", "most_skipped", "rest", "parts", "missing", "size", "to_skip")
+
     def __init__(self, parts: int, part: int, skipped: int) -> None:
         self.most_parts, self.most, self.most_skipped = parts, part, skipped
         self.rest = b""
--- a/lilacwalk/wire/routers.py
+++ b/lilacwalk/wire/routers.py
@@ -111,11 +111,16 @@
     """One router's connection. A thread reads it; what was read goes onto the deciding thread's queue in
     batches, a few at a time, so that a router that floods waits for itself."""
 
+    __slots__ = ("sock", "peer", "limits", "inbox", "door", "outbox", "ahead", "cut", "begun", "open",
+                 "last_used", "closing_since", "sound")
+
     def __init__(self, sock: socket.socket, peer: str, limits: Limits, inbox: SimpleQueue,
                  door: Door) -> None:
         self.sock, self.peer, self.limits, self.inbox, self.door = sock, peer, limits, inbox, door
         self.outbox = Outbox(sock, limits.outbox, "router")
-        self.ahead = threading.Semaphore(limits.batches_ahead)
+        self.ahead: SimpleQueue[None] = SimpleQueue()  # leave to read on: lighter and faster than a semaphore
+        for _ in range(limits.batches_ahead):
+            self.ahead.put(None)
         self.cut = False
         self.begun = False  # a message whose end is still due
         # The deciding thread's own.
@@ -162,7 +167,7 @@
             self.begun = parser.begun
 
     def _hand_over(self, messages: list[tuple]) -> None:
-        self.ahead.acquire()
+        self.ahead.get()
         self.inbox.put((self.door.on_messages, self, messages))
 
     def _decode(self, parts: list[memoryview | None]) -> tuple:
