What the kernel does not know is over, also when it was sent twice

Found by reading, while what is believed was compared with the traffic: an exchange whose SCHED was sent again after a lost link and then rejected stayed on the cores for good, since _rejected left all that was sent twice to its end, and a run that never was has none. Each such took a place of the start limit away until the process ended; bad clients whose first rejection went down with a link do that. Only replies may be rejected while their run goes on. A test compares hand, cores, calls, open and memory with zero after all kinds of ends; both fail before.

--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -322,13 +322,16 @@
 
     def _rejected(self, command: str, ident: str) -> None:
         """The run of a command that was not carried out may hang: it is answered, and its run given up. What
-        was sent twice may be known, and its run go on: then its end or its due time decides."""
+        the kernel does not know has no run, however often it was sent. A reply that was sent twice may be
+        rejected though its run goes on: then its end or its due time decides."""
         each = self.hand.by_id.get(ident)
-        if each is not None and each.connection is not None and command == "SCHED":
+        if each is None:
+            return
+        if command == "SCHED" and each.connection is not None:
             self._bad(each.connection, 0, "an exchange that the kernel does not know")
         elif command != "SCHED":
             log.error("event=command_rejected command=%s id=%s", command, ident)
-        if each is not None and command in ("SCHED", "IODONE", "NOIO") and not each.sent_again:
+        if command == "SCHED" or command in ("IODONE", "NOIO") and not each.sent_again:
             self.out.answer(each, b"error")
             self.calls.append((self.controller.finished, each.ex, Ending.MOOT))
             self.forget(each, None)
--- a/tests/test_app_server.py
+++ b/tests/test_app_server.py
@@ -315,6 +315,52 @@
     assert index.expect("GET")[0][1] == ident
 
 
+def test_what_the_kernel_does_not_know_is_over_also_when_it_was_sent_twice(site):
+    router = site.router()
+    router.submit(1)
+    words, _ = site.kernel.expect("SCHED")
+    site.kernel.reset()  # and with the link what it said of that
+    site.kernel = site.link()
+    assert site.kernel.expect("SCHED")[0][1] == words[1]
+    site.kernel.tell(f"EINVAL SCHED {words[1]}")
+    assert router.answer()[:2] == (1, "error")
+    assert run_once(site, router, 2, 1)[2][:2] == (2, "done")
+    assert believed(site) == (0, 0, 0, 0, 0)
+
+
+def believed(site):
+    """What is taken to be in hand, on the cores, at calls, open and in memory."""
+    controller = site.deciding.controller
+    return (len(site.deciding.hand), controller.on_cores, controller.calling + len(controller.at_calls),
+            len(controller.open), round(controller.memory))
+
+
+def test_after_all_kinds_of_ends_nothing_is_believed_to_be_in_hand(site):
+    router, leaving = site.router(), site.router()
+    for tag, ending in enumerate(("success", "failure", "interrupted", "nothing"), 1):
+        router.submit(tag)
+        words, _ = site.kernel.expect("SCHED")
+        site.kernel.tell(f"REAP {tag} {words[1]} {ending} 1 0", b"")
+        assert router.answer()[0] == tag
+    lost = at_call(site, router, 5, 5)  # its caller leaves at the call
+    index = site.calls()
+    index.expect("GET")
+    router.say(b"WITHDRAW", b"5")
+    router.say(b"PROBE", b"6")
+    assert router.answer()[0] == 6  # the withdrawal is read by now
+    leaving.submit(1)  # and this one's while it runs
+    words, _ = site.kernel.expect("SCHED")
+    leaving.reset()
+    assert site.kernel.expect("PREEMPT")[0][1] == words[1]
+    site.kernel.tell(f"REAP 6 {words[1]} interrupted 1 0", b"")
+    site.kernel.tell(f"REAP 7 {lost} interrupted 1 0", b"")
+    assert index.next() is None
+    assert run_once(site, router, 9, 8)[2][:2] == (9, "done")
+    router.say(b"PROBE", b"10")
+    assert router.answer()[0] == 10
+    assert believed(site) == (0, 0, 0, 0, 0)
+
+
 def test_what_is_decided_without_a_link_is_sent_behind_the_fence(site):
     router = site.router()
     router.submit(1)
