A call that stays silent is given up at ten usual call times and made once more

In call() the time limit was all that the exchange still had, so no time was left for another; and each such lag of many usual ones went into the mean call time (_learn_call), which called the dependency crowded. A lag now counts for three usual ones at most.

--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -14,7 +14,7 @@
 from math import inf
 
 from lilacwalk.decisions.interface import (
-    Advice, AppServer, Customer, Effect, Ending, EndpointGroup, Exchange, Place, StopMode, Writer,
+    Advice, AppServer, Effect, Ending, EndpointGroup, Exchange, Place, StopMode, Writer,
 )
 
 SECOND = 10_000
@@ -37,6 +37,8 @@
 QUIET_LEARN = 0.005  # the quiet level: some two hundred, and hardly any while calls are crowded
 FIRST_CALLS = 20  # enough for a mean within a quarter of the true one
 CALLS_LEAST = 0.3  # of its share: fewer would leave a dependency idle that is slow by itself
+MUTE = 10  # usual call times: beyond what slowness does to most calls at once; soon enough for another
+OUTLIER = 3  # a call counts for so many usual ones at most: one lost reply must not look like a crowd
 CROWDED = 2  # times the quiet call time: beyond what scatter does to a mean of ten
 MAKES_IT = 0.7  # share of the expected run time that must fit: run times scatter widely around their mean
 SILENCE = 9  # expected gaps without progress before work counts as standing still: e^-9 by chance
@@ -81,8 +83,7 @@
         self.calls_crowded = False
         self.unread_wait = 0.0  # from reaching the machine until read
         self.last_progress = self.last_timer = self.call_ready = now
-        self.customer_counts: dict[Customer, int] = {each: 0 for each in server.customers}
-        self.customer_rates: dict[Customer, float] = {each: 0.0 for each in server.customers}
+        self.customer_counts, self.customer_rates = (dict.fromkeys(server.customers, 0.0) for _ in range(2))
         self.caller_counts: dict[int, float] = {}
         self.returning = 1.0  # part of the arrivals whose caller came here within the last seconds
         self.closes_idle = self.stalled = self.deaf = False
@@ -255,9 +256,8 @@
         key_kb = self.server.key_kb if ex.group.effect is Effect.DEDUPLICATED else 0
         admitted = self.chance.random() < self.p_a  # drawn for every arrival
         left = self.leave_by and ex.arrived > self.grace_end
-        if ex.due - self.now <= self.margin or left or self.stalled:
-            self._give_up(ex)
-        elif self.memory + key_kb > MEMORY_LIMIT * self.server.memory_kb:
+        full = self.memory + key_kb > MEMORY_LIMIT * self.server.memory_kb
+        if ex.due - self.now <= self.margin or left or self.stalled or full:
             self._give_up(ex)
         elif not admitted or self._over_share(ex) or not self._makes_it(ex, self._line_before(ex)):
             self._give_up(ex, not_elsewhere=self._fleet_short(ex))
@@ -355,8 +355,7 @@
         """Beyond its share a customer brings little: it yields first, but only while something is short.
 
         Rates are compared with the allowance and with the other customers: where all are over, the server
-        merely gets more than its part. Hurts where a router sends one customer to few servers.
-        """
+        merely gets more than its part. Hurts where a router sends one customer to few servers."""
         short = self.p_a < 0.98 or len(self.held) > self.server.cores
         if not ex.customer or self.server.over_share_benefit >= 0.5 or not short:
             return False
@@ -378,8 +377,7 @@
     # Giving up: always answered at once, with a time to come back
 
     def _give_up(self, ex: Exchange, not_elsewhere: bool = False) -> None:
-        first = ex.repeats
-        if ex.group.effect is not Effect.REPEATABLE and (ex.ran or first and first.ran):
+        if ex.group.effect is not Effect.REPEATABLE and (ex.ran or ex.repeats and ex.repeats.ran):
             self.out.terminate(ex)
         else:
             away = 1.0 if self.stalled or self.leave_by else 1 - self.p_a
@@ -489,9 +487,10 @@
         fed on. Call times well over their quiet level shrink the calls in hand, under one by rests between
         them: in a large fleet even one on each server is a crowd. Some are left to probe."""
         self.calls_seen += 1  # plain means at first: one odd first call must not set the level
+        lag = min(lag, OUTLIER * self.call_time) if self.calls_seen > FIRST_CALLS else lag
         self.call_time += max(CALL_LEARN, 1 / self.calls_seen) * (lag - self.call_time)
-        weight = QUIET_LEARN / 20 if self.calls_crowded else QUIET_LEARN
-        weight = 1 / self.calls_seen if self.calls_seen <= FIRST_CALLS else weight
+        first = 1 / self.calls_seen if self.calls_seen <= FIRST_CALLS else 0.0
+        weight = first or QUIET_LEARN / (20 if self.calls_crowded else 1)
         self.quiet_call_time += weight * (lag - self.quiet_call_time)
         self.calls_crowded = self.call_time > CROWDED * self.quiet_call_time
         if self.calls_crowded:
@@ -529,6 +528,9 @@
                 return
             repeatable = ex.group.effect is Effect.REPEATABLE
             until = self._earns_until(ex) if repeatable else ex.due - self.margin
+            usual = self.calls_seen >= FIRST_CALLS and not self.calls_crowded
+            if repeatable and usual and not ex.called_unsure:  # once: the next call has all the time left
+                until = min(until, self.now + int(MUTE * self.call_time))
             if 0 < share < 1:
                 until = min(until, self.now + int(share * self.server.call_span / 2))
             self.at_calls.remove(ex)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -197,6 +197,19 @@
     assert host.whats("call") == [first] and host.whats("skip_call") == [second]
 
 
+def test_a_reply_that_never_comes_is_no_crowd_and_its_call_is_made_once_more_in_time(make_host, group):
+    host = make_host(groups=[group(calls=True)], call_share=3.0)
+    for _ in range(30):
+        host.controller._learn_call(500)
+    ex = host.arrive()
+    host.round((host.controller.at_call, ex))
+    assert host.did[-1] == ("call", ex, host.now + 5_000)
+    host.now += 5_000
+    host.round((host.controller.called, ex, Ending.ABANDONED, 5_000))
+    assert not host.controller.calls_crowded
+    assert host.did[-1][:2] == ("call", ex) and host.did[-1][2] > host.now + 2_000
+
+
 def test_one_odd_first_call_is_no_quiet_level(make_host, group):
     host = make_host(groups=[group(calls=True)], call_share=3.0)
     for lag in [20] + [500] * 30:
