Bounds from the memory handed over: connections, outboxes, exchanges, keys, results

memory_mb was handed over and not read: 512 connections could hold 84 MB of unsent answers, the kernel's outbox 8 MB, the results 16 MB, whatever the limit.

--- a/lilacwalk/lifecycle/limits.py
+++ b/lilacwalk/lifecycle/limits.py
@@ -8,6 +8,10 @@
 
 SECOND = 10_000  # tenths of a ms, as all times here
 SPARE_SOCKETS = 64  # descriptors for all that is no router: links, the listener, logs, the interpreter
+MEGABYTE = 1_000_000
+PROGRAM = 16 * MEGABYTE  # measured: 12 MB alone, some more for what is read and not yet decided
+CONNECTION, IN_HAND, KEPT = 24_000, 9_000, 1_500  # measured at 19 KB and 9 KB, estimated from its parts
+LEAST_OUTBOX, MOST_OUTBOX = 16_384, 163_840  # four results of 4 KiB, and all 32 with their fields
 
 
 @dataclass(frozen=True)
@@ -17,6 +21,13 @@
     crowded: int  # from here on some are closed, so that some room is left at all times
     stop: int  # from the notice to leave until the process is killed
     fresh: int  # how long a read's result may answer others; 0: never
+    # Of the memory that is handed over, beside the program itself: five eighths for connections and what
+    # stands unsent there, and one each for exchanges in hand, keys with results, and the kernel's outbox.
+    outbox: int  # bytes; a router that lets more stand is cut off
+    in_hand: int
+    kept: int
+    kept_bytes: int
+    link_outbox: int  # a party on the same machine that leaves this much unread is gone
     index_lines: int  # connections to the index at once, one call on each; calls beyond these wait
     routers_idle: int  # routers drop their own idle connections after this
     # Routers.
@@ -29,7 +40,6 @@
     batch: int = 32  # messages handed over at once: more are never open on one connection
     batches_ahead: int = 2  # read from one connection and not yet decided on
     buffer: int = 65_536  # of the system, each way: 32 open exchanges; it counts as memory too
-    outbox: int = 163_840  # 32 results of 4 KiB with their fields; a router that lets more stand is cut off
     backlog: int = 1_024  # connections not yet accepted: who finds it full comes again a second later
     message: int = SECOND  # to the first whole one from connecting, and to its end from where one began
     young: int = SECOND // 5  # connected so recently that the first message may well be on its way
@@ -39,16 +49,11 @@
     link_read: int = 4_096
     line: int = 512
     reply: int = 65_536  # results are 4 KiB at most; more than this is no reply, but a length gone wrong
-    link_outbox: int = 8_388_608  # a party on the same machine that leaves this much unread is gone
     relink_least: int = SECOND // 50  # a lost link is tried again soon, then less often:
     relink_most: int = SECOND // 10  # ten tries a second cost nothing, and calls may wait for the next one
     index_idle: int = 8 * SECOND  # the other side closes after ten seconds
     connect: int = SECOND // 4  # on one machine connections open at once or not at all
     gauge_lead: int = 30  # asked for 3 ms before they are used: some ten times what an answer takes
-    # In hand and kept.
-    in_hand: int = 4_096  # measured at 9 KB each with bodies of 2 KiB
-    kept: int = 16_384
-    kept_bytes: int = 16_777_216
     # Times.
     report_every: int = 3 * SECOND // 10  # listed for 3 s after a report: nine lost in a row are no chance
     look_at_idle: int = SECOND // 20  # a fifth of the shortest idle time that is asked for in practice
@@ -62,9 +67,19 @@
         sockets = whole(limits, "sockets", 1024)
         if sockets < 4 * SPARE_SOCKETS:
             raise HandoverError(f"sockets={sockets} leaves no room for routers")
+        memory = number(limits, "memory_mb", 192.0) * MEGABYTE - PROGRAM
+        if memory < PROGRAM // 4:
+            raise HandoverError(f"memory_mb={limits['memory_mb']} leaves no room beside the program")
+        eighth = int(memory / 8)
+        connections = min(sockets - SPARE_SOCKETS, 5 * eighth // (CONNECTION + LEAST_OUTBOX))
         return cls(
-            connections=sockets - SPARE_SOCKETS,
-            crowded=sockets - SPARE_SOCKETS - SPARE_SOCKETS // 2,
+            connections=connections,
+            crowded=connections - SPARE_SOCKETS // 2,
+            outbox=min(MOST_OUTBOX, 5 * eighth // connections - CONNECTION),
+            in_hand=eighth // IN_HAND,
+            kept=eighth // 2 // KEPT,
+            kept_bytes=eighth // 2,
+            link_outbox=eighth,
             stop=early(number(handed, "stop_ms", 3000.0)),
             fresh=early(number(info, "fresh_ms", 0.0)),
             index_lines=SPARE_SOCKETS // 2,
--- a/tests/test_app_server.py
+++ b/tests/test_app_server.py
@@ -693,7 +693,9 @@
     assert told[1].endswith(f"event=bad_message count=2 peer={peer} reason='unknown verb'")
 
 
-@pytest.mark.parametrize("text", [None, "{", "[]", '{"settings": {}}', '{"settings": {"classes": [{}]}}'])
+@pytest.mark.parametrize("text", [
+    None, "{", "[]", '{"settings": {"classes": [{"hard_limit_ms": 9}]}, "limits": {"memory_mb": 17}}',
+    '{"settings": {}}', '{"settings": {"classes": [{}]}}'])
 def test_a_configuration_that_cannot_be_used_is_one_plain_line_and_exit_code_2(tmp_path, capsys, text):
     path = tmp_path / "config.json"
     if text is not None:
@@ -703,6 +705,15 @@
     assert error.startswith("lilacwalk: ") and error.count("\n") == 1
 
 
+@pytest.mark.parametrize("memory_mb, sockets", [(32, 384), (64, 384), (80, 512), (192, 1024), (192, 4096)])
+def test_all_tables_and_buffers_filled_stay_within_the_memory_handed_over(memory_mb, sockets):
+    limits = Limits.given({"settings": SETTINGS, "limits": {"memory_mb": memory_mb, "sockets": sockets}})
+    filled = (limits.connections * (24_000 + limits.outbox) + limits.in_hand * 9_000 + limits.kept * 1_500
+              + limits.kept_bytes + limits.link_outbox)
+    assert filled + 16_000_000 <= memory_mb * 1_000_000
+    assert limits.crowded >= sockets // 2 or memory_mb / sockets < 0.1  # routers open half
+
+
 def test_an_address_in_use_is_one_plain_line(make_site):
     handed = make_site().handed
     with pytest.raises(serve.CannotUseError, match="cannot listen"):
