After a stall of the process nobody is closed as silent before it was read

Found by reading: the look at silent connections counted the time that the process itself stood still, so a router's new connection whose first message waited unread was cut off in the first pass after a stall (deciding.py, _look_around). A look that comes late leaves connections alone; the next one comes 50 ms later. The test fails without it.

--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -61,7 +61,7 @@
         index.on_over = self._call_ended
 
     def run(self) -> None:
-        self.at(self.now, self._look_around)
+        self.at(self.now, self._look_around, self.now)
         while not self.ended:
             self.one_pass()
 
@@ -108,14 +108,16 @@
         if self.kernel_ready:
             self.send(self.kernel, kernel.gauges("g"))
 
-    def _look_around(self) -> None:
+    def _look_around(self, due: int) -> None:
         """Work that no message starts: the report, idle connections, keys whose time is over."""
-        self.at(self.now + self.limits.look_at_idle, self._look_around)
+        again = self.now + self.limits.look_at_idle
+        self.at(again, self._look_around, again)
         if self.controller is not None and self.now >= self.out.next_report:
             self.out.next_report = self.now + self.limits.report_every
             self.catalog.report(self.out.healthy)
             self.kept.sweep(self.now)
-        self._close_idle()
+        if self.now - due < self.limits.look_at_idle:  # else all stood still, and what came is unread
+            self._close_idle()
         self.index.rest(self.now - self.limits.index_idle)
 
     # Routers
--- a/tests/test_app_server.py
+++ b/tests/test_app_server.py
@@ -17,6 +17,7 @@
 from lilacwalk.lifecycle.log import KeyValue
 from lilacwalk.wire.index import Call, Index
 from lilacwalk.wire.resp import encode
+from lilacwalk.wire.routers import Connection
 
 
 def run_once(site, router, tag, notice, result=b"result", **more):
@@ -121,6 +122,20 @@
     assert run_once(site, router, 2, 1)[2][:2] == (2, "done")
 
 
+def test_after_a_stall_of_the_process_who_waits_to_be_read_is_not_closed_as_silent(make_site):
+    deciding, _ = serve.build(make_site().handed, SimpleQueue())
+    ours, theirs = socket.socketpair()
+    connection = Connection(ours, "router", deciding.limits, deciding.inbox, deciding.door)
+    deciding._opened(connection)
+    due = deciding.now + deciding.limits.look_at_idle
+    deciding.now += 2 * deciding.limits.message
+    deciding._look_around(due)
+    assert not connection.cut
+    deciding.now += deciding.limits.look_at_idle
+    deciding._look_around(deciding.now)
+    assert connection.cut and theirs.recv(1) == b""
+
+
 def test_who_has_just_connected_is_not_closed_for_who_asked_once_and_stayed(make_site):
     site = make_site(limits={"connections": 12, "crowded": 8, "young": 600_000}).start()
     site.kernel, stayed = site.link(), [site.router() for _ in range(8)]
