--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -413,6 +413,14 @@
             self._ask_to_close(connection)
         self._see_to_the_end()
 
+    def believed(self) -> str:
+        """What is taken to be in hand: at the end all of it should be zero."""
+        told = self.controller
+        if told is None:
+            return f"in_hand={len(self.hand)}"
+        return (f"in_hand={len(self.hand)} open={len(told.open)} on_cores={told.on_cores} "
+                f"calls={told.calling + len(told.at_calls)} memory_kb={int(told.memory)}")
+
     def _see_to_the_end(self) -> None:
         """Ends once all routers have closed, or when the time is nearly up and all is answered and sent."""
         late = self.now >= self.stop_at - self.limits.flush // 2
@@ -421,7 +429,8 @@
                 self.out.answer(each, b"error")
         flushed = all(connection.outbox.flushed for connection in self.connections)
         if not self.connections or late and flushed or self.now >= self.stop_at - self.limits.flush // 4:
-            log.info("event=stopped connections=%d flushed=%s", len(self.connections), flushed)
+            log.info("event=stopped connections=%d flushed=%s %s",
+                     len(self.connections), flushed, self.believed())
             self.ended = True
         else:
             self.at(self.now + SECOND // 100, self._see_to_the_end)
