--- a/tests/test_app_server.py
+++ b/tests/test_app_server.py
@@ -614,6 +614,7 @@
     begun = time.monotonic()
     site.process.send_signal(signal.SIGTERM)
     site.process.send_signal(signal.SIGTERM)
+    site.process.send_signal(signal.SIGHUP)  # with nothing new in the file
     kernel.tell("REAP 1 00000000000000aa success 1 1", b"a")
     answers = {each[0]: each[1] for each in (router.answer() for _ in range(3))}
     assert answers[1] == "done" and answers[0] == "closing" and answers[2] in ("later", "error")
