--- /dev/null
+++ b/lilacwalk/bgp/attributes.py
@@ -0,0 +1,408 @@
+"""Path attributes: bytes to records and back. A fault has the weight that RFC 7606 gives it: the attribute is
+dropped, the routes are treated as withdrawn, or the session ends."""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from lilacwalk.bgp.errors import BgpError, Code, UpdateFault
+
+OPTIONAL, TRANSITIVE, PARTIAL, LONG = 0x80, 0x40, 0x20, 0x10
+AS_TRANS = 23_456  # RFC 6793: stands for a number that two octets cannot hold
+SET, SEQUENCE, CONFED_SEQUENCE, CONFED_SET = 1, 2, 3, 4
+GRACEFUL_SHUTDOWN = 0xFFFF0000  # RFC 8326
+
+
+class Type(IntEnum):
+    ORIGIN = 1
+    AS_PATH = 2
+    NEXT_HOP = 3
+    MED = 4
+    LOCAL_PREF = 5
+    ATOMIC_AGGREGATE = 6
+    AGGREGATOR = 7
+    COMMUNITIES = 8
+    ORIGINATOR_ID = 9
+    CLUSTER_LIST = 10
+    MP_REACH = 14
+    MP_UNREACH = 15
+    EXTENDED_COMMUNITIES = 16
+    AS4_PATH = 17
+    AS4_AGGREGATOR = 18
+    LARGE_COMMUNITIES = 32
+    ONLY_TO_CUSTOMER = 35
+
+
+WELL_KNOWN = TRANSITIVE
+FLAGS = {  # the optional and transitive bits that each must have
+    Type.ORIGIN: WELL_KNOWN, Type.AS_PATH: WELL_KNOWN, Type.NEXT_HOP: WELL_KNOWN, Type.MED: OPTIONAL,
+    Type.LOCAL_PREF: WELL_KNOWN, Type.ATOMIC_AGGREGATE: WELL_KNOWN, Type.AGGREGATOR: OPTIONAL | TRANSITIVE,
+    Type.COMMUNITIES: OPTIONAL | TRANSITIVE, Type.ORIGINATOR_ID: OPTIONAL, Type.CLUSTER_LIST: OPTIONAL,
+    Type.MP_REACH: OPTIONAL, Type.MP_UNREACH: OPTIONAL, Type.EXTENDED_COMMUNITIES: OPTIONAL | TRANSITIVE,
+    Type.AS4_PATH: OPTIONAL | TRANSITIVE, Type.AS4_AGGREGATOR: OPTIONAL | TRANSITIVE,
+    Type.LARGE_COMMUNITIES: OPTIONAL | TRANSITIVE, Type.ONLY_TO_CUSTOMER: OPTIONAL | TRANSITIVE}
+ONLY_INTERNAL = (Type.LOCAL_PREF, Type.ORIGINATOR_ID, Type.CLUSTER_LIST)  # RFC 7606 section 7: else dropped
+
+Path = tuple[tuple[int, tuple[int, ...]], ...]  # segments: kind and numbers
+
+
+class Weight(IntEnum):
+    """RFC 7606 section 2, lightest first."""
+
+    DISCARD = 1
+    WITHDRAW = 2
+    RESET = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    weight: Weight
+    kind: int
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Attributes:
+    origin: int = 0
+    as_path: Path = ()
+    next_hop: bytes = b""  # 4 or 16 bytes; of IPv6 the global one
+    med: int | None = None
+    local_pref: int | None = None
+    atomic: bool = False
+    aggregator: tuple[int, bytes] | None = None
+    communities: tuple[int, ...] = ()
+    large: tuple[tuple[int, int, int], ...] = ()
+    extended: bytes = b""
+    only_to_customer: int | None = None
+    others: tuple[tuple[int, int, bytes], ...] = ()  # flags, type, value of transitive ones not known here
+
+    @property
+    def path_length(self) -> int:
+        """RFC 4271 section 9.1.2.2: a set counts one; confederations do not count (RFC 5065)."""
+        return sum(1 if kind == SET else len(numbers) for kind, numbers in self.as_path
+                   if kind in (SET, SEQUENCE))
+
+    @property
+    def first_as(self) -> int | None:
+        for kind, numbers in self.as_path:
+            return numbers[0] if kind == SEQUENCE and numbers else None
+        return None
+
+    @property
+    def origin_as(self) -> int | None:
+        kind, numbers = self.as_path[-1] if self.as_path else (0, ())
+        return numbers[-1] if kind == SEQUENCE and numbers else None
+
+    def in_path(self, number: int) -> bool:
+        return any(number in numbers for _, numbers in self.as_path)
+
+
+@dataclass(slots=True)
+class Read:
+    """One UPDATE's attributes as they came."""
+
+    values: dict[str, object] = field(default_factory=dict)
+    faults: list[Fault] = field(default_factory=list)
+    reach: tuple[int, int, bytes, bytes] | None = None  # afi, safi, next hop, prefixes
+    unreach: tuple[int, int, bytes] | None = None
+    seen: set[int] = field(default_factory=set)
+
+    def fault(self, weight: Weight, kind: int, text: str) -> None:
+        self.faults.append(Fault(weight, kind, text))
+
+    @property
+    def weight(self) -> int:
+        return max((each.weight for each in self.faults), default=0)
+
+
+class BadValueError(Exception):
+    def __init__(self, text: str, weight: Weight = Weight.WITHDRAW) -> None:
+        super().__init__(text)
+        self.weight = weight
+
+
+def read(data: bytes, as4: bool, internal: bool) -> Read:
+    """All attributes of one UPDATE. Raises BgpError where the session must end: an attribute that is unknown
+    and said to be well-known, a second MP_REACH or MP_UNREACH, or one of them that cannot be read (then
+    nobody knows which routes were meant; RFC 7606 sections 3g and 5.3)."""
+    found, at = Read(), 0
+    while at < len(data):
+        flags = data[at]
+        head = 4 if flags & LONG else 3
+        if len(data) - at < head:
+            found.fault(Weight.WITHDRAW, 0, "an attribute without its length")  # RFC 7606 section 4
+            break
+        kind = data[at + 1]
+        size = int.from_bytes(data[at + 2:at + head], "big")
+        value = data[at + head:at + head + size]
+        if len(value) < size:
+            if kind in (Type.MP_REACH, Type.MP_UNREACH):
+                raise BgpError(Code.UPDATE, UpdateFault.OPTIONAL, data[at:], "runs past the end")
+            found.fault(Weight.WITHDRAW, kind, "runs past the end")
+            break
+        whole = data[at:at + head + size]
+        at += head + size
+        if kind in found.seen:
+            if kind in (Type.MP_REACH, Type.MP_UNREACH):
+                raise BgpError(Code.UPDATE, UpdateFault.ATTRIBUTE_LIST, text=f"attribute {kind} twice")
+            found.fault(Weight.DISCARD, kind, "stands twice")
+            continue
+        found.seen.add(kind)
+        take(found, flags, kind, value, whole, as4, internal)
+    if not as4:
+        four_octets(found)
+    return found
+
+
+def take(found: Read, flags: int, kind: int, value: bytes, whole: bytes, as4: bool, internal: bool) -> None:
+    expected = FLAGS.get(kind)  # type: ignore[call-overload]
+    if expected is None:
+        if not flags & OPTIONAL:
+            raise BgpError(Code.UPDATE, UpdateFault.UNKNOWN_WELL_KNOWN, whole, f"attribute {kind}")
+        if flags & TRANSITIVE:
+            others = found.values.get("others", ())
+            found.values["others"] = (*others, (flags | PARTIAL, kind, value))  # type: ignore[misc]
+        return
+    if kind in ONLY_INTERNAL and not internal:
+        found.fault(Weight.DISCARD, kind, "from outside")
+        return
+    if flags & (OPTIONAL | TRANSITIVE) != expected:
+        if kind in (Type.MP_REACH, Type.MP_UNREACH):  # its routes are still known, and withdrawn
+            found.fault(Weight.WITHDRAW, kind, "wrong flags")
+        else:
+            found.fault(Weight.WITHDRAW, kind, f"flags {flags:#04x}")
+            return
+    try:
+        READERS[kind](found, value, as4)
+    except BadValueError as error:
+        if error.weight is Weight.RESET:
+            raise BgpError(Code.UPDATE, UpdateFault.OPTIONAL, whole, str(error)) from None
+        found.fault(error.weight, kind, str(error))
+
+
+def sized(value: bytes, *sizes: int, weight: Weight = Weight.WITHDRAW) -> None:
+    if len(value) not in sizes:
+        raise BadValueError(f"{len(value)} bytes long", weight)
+
+
+def origin(found: Read, value: bytes, as4: bool) -> None:
+    sized(value, 1)
+    if value[0] > 2:
+        raise BadValueError(f"origin {value[0]}")
+    found.values["origin"] = value[0]
+
+
+def path_of(value: bytes, size: int) -> Path:
+    segments, at = [], 0
+    while at < len(value):
+        if len(value) < at + 2:
+            raise BadValueError("a segment without its length")
+        kind, count = value[at], value[at + 1]
+        end = at + 2 + count * size
+        if kind not in (SET, SEQUENCE, CONFED_SEQUENCE, CONFED_SET) or not count or end > len(value):
+            raise BadValueError(f"segment {kind} of {count}")
+        numbers = struct.unpack(f"!{count}{'I' if size == 4 else 'H'}", value[at + 2:end])
+        if 0 in numbers:
+            raise BadValueError("AS 0")  # RFC 7607 section 2
+        segments.append((kind, numbers))
+        at = end
+    return tuple(segments)
+
+
+def as_path(found: Read, value: bytes, as4: bool) -> None:
+    found.values["as_path"] = path_of(value, 4 if as4 else 2)
+
+
+def as4_path(found: Read, value: bytes, as4: bool) -> None:
+    if as4:
+        return  # RFC 6793 section 4.1: means nothing here
+    try:
+        found.values["as4_path"] = path_of(value, 4)
+    except BadValueError as error:
+        raise BadValueError(str(error), Weight.DISCARD) from None  # RFC 6793 section 6
+
+
+def next_hop(found: Read, value: bytes, as4: bool) -> None:
+    sized(value, 4)
+    found.values["next_hop"] = usable(value)
+
+
+def usable(value: bytes) -> bytes:
+    """RFC 4271 section 6.3: what can be no host's address makes the route unusable, not the session."""
+    if not any(value) or len(value) == 4 and (value[0] in (0, 255) or 224 <= value[0] < 240) \
+            or len(value) == 16 and value[0] == 0xFF:
+        raise BadValueError("a next hop that is no host")
+    return value
+
+
+def number(name: str, kind: Type, weight: Weight = Weight.WITHDRAW):
+    def reader(found: Read, value: bytes, as4: bool) -> None:
+        sized(value, 4, weight=weight)
+        found.values[name] = int.from_bytes(value, "big")
+    return reader
+
+
+def atomic(found: Read, value: bytes, as4: bool) -> None:
+    sized(value, 0, weight=Weight.DISCARD)
+    found.values["atomic"] = True
+
+
+def aggregator(found: Read, value: bytes, as4: bool) -> None:
+    sized(value, 8 if as4 else 6, weight=Weight.DISCARD)
+    asn = int.from_bytes(value[:-4], "big")
+    if not asn:
+        raise BadValueError("AS 0", Weight.DISCARD)
+    found.values["aggregator"] = asn, value[-4:]
+
+
+def as4_aggregator(found: Read, value: bytes, as4: bool) -> None:
+    if as4:
+        return
+    sized(value, 8, weight=Weight.DISCARD)
+    found.values["as4_aggregator"] = int.from_bytes(value[:4], "big"), value[4:]
+
+
+def multiple(value: bytes, size: int) -> None:
+    if not value or len(value) % size:
+        raise BadValueError(f"{len(value)} bytes long")
+
+
+def communities(found: Read, value: bytes, as4: bool) -> None:
+    multiple(value, 4)
+    found.values["communities"] = struct.unpack(f"!{len(value) // 4}I", value)
+
+
+def extended_communities(found: Read, value: bytes, as4: bool) -> None:
+    multiple(value, 8)
+    found.values["extended"] = value
+
+
+def large_communities(found: Read, value: bytes, as4: bool) -> None:
+    multiple(value, 12)
+    found.values["large"] = tuple(dict.fromkeys(struct.iter_unpack("!III", value)))  # RFC 8092 section 3
+
+
+def only_to_customer(found: Read, value: bytes, as4: bool) -> None:
+    sized(value, 4)  # RFC 9234 section 5: treated as withdrawn
+    found.values["only_to_customer"] = int.from_bytes(value, "big")
+
+
+def checked(found: Read, value: bytes, as4: bool) -> None:
+    """Internal peers' own; nothing here reflects routes, so only its form counts."""
+    multiple(value, 4)
+
+
+def mp_reach(found: Read, value: bytes, as4: bool) -> None:
+    if len(value) < 5 or len(value) < 5 + value[3]:
+        raise BadValueError("too short", Weight.RESET)
+    afi, safi, size = struct.unpack("!HBB", value[:4])
+    hop, prefixes = value[4:4 + size], value[5 + size:]
+    if afi == 2 and size not in (16, 32) or afi == 1 and size not in (4, 16, 32):
+        raise BadValueError(f"a next hop of {size} bytes", Weight.RESET)  # RFC 7606 section 7.11
+    found.reach = afi, safi, hop[:16], prefixes
+    if afi == 2:
+        usable(hop[:16])
+
+
+def mp_unreach(found: Read, value: bytes, as4: bool) -> None:
+    if len(value) < 3:
+        raise BadValueError("too short", Weight.RESET)
+    found.unreach = *struct.unpack("!HB", value[:3]), value[3:]
+
+
+READERS = {
+    Type.ORIGIN: origin, Type.AS_PATH: as_path, Type.NEXT_HOP: next_hop, Type.MED: number("med", Type.MED),
+    Type.LOCAL_PREF: number("local_pref", Type.LOCAL_PREF), Type.ATOMIC_AGGREGATE: atomic,
+    Type.AGGREGATOR: aggregator, Type.COMMUNITIES: communities, Type.ORIGINATOR_ID: checked,
+    Type.CLUSTER_LIST: checked, Type.MP_REACH: mp_reach, Type.MP_UNREACH: mp_unreach,
+    Type.EXTENDED_COMMUNITIES: extended_communities, Type.AS4_PATH: as4_path,
+    Type.AS4_AGGREGATOR: as4_aggregator, Type.LARGE_COMMUNITIES: large_communities,
+    Type.ONLY_TO_CUSTOMER: only_to_customer}
+
+
+def four_octets(found: Read) -> None:
+    """RFC 6793 section 4.2.3: a peer of two octets' path and aggregator, completed by what others put
+    beside."""
+    wide, narrow = found.values.pop("as4_path", None), found.values.get("as_path")
+    aggregated = found.values.pop("as4_aggregator", None)
+    plain = found.values.get("aggregator")
+    if plain is not None and aggregated is not None:
+        if plain[0] != AS_TRANS:  # type: ignore[index]
+            return  # whoever aggregated knew no four octets: what is beside is older than that
+        found.values["aggregator"] = aggregated
+    if wide is None or narrow is None:
+        return
+    ours, theirs = length(narrow), length(wide)  # type: ignore[arg-type]
+    if ours < theirs:
+        return
+    missing, head = ours - theirs, []
+    for kind, numbers in narrow:  # type: ignore[attr-defined]
+        if missing <= 0:
+            break
+        part = numbers[:missing] if kind in (SEQUENCE, CONFED_SEQUENCE) else numbers
+        head.append((kind, part))
+        missing -= len(part) if kind == SEQUENCE else 1 if kind == SET else 0
+    if head and wide and head[-1][0] == SEQUENCE == wide[0][0]:  # type: ignore[index]
+        joined = (SEQUENCE, (*head.pop()[1], *wide[0][1]))  # type: ignore[index]
+        wide = (joined, *wide[1:])  # type: ignore[index]
+    found.values["as_path"] = (*head, *wide)  # type: ignore[misc]
+
+
+def length(path: Path) -> int:
+    return sum(1 if kind == SET else len(numbers) for kind, numbers in path if kind in (SET, SEQUENCE))
+
+
+def pack(flags: int, kind: int, value: bytes) -> bytes:
+    if len(value) > 255:
+        return struct.pack("!BBH", flags | LONG, kind, len(value)) + value
+    return struct.pack("!BBB", flags, kind, len(value)) + value
+
+
+def pack_path(path: Path, size: int) -> bytes:
+    most = 255  # numbers in one segment
+    pieces = []
+    for kind, numbers in path:
+        for at in range(0, len(numbers), most):
+            part = numbers[at:at + most]
+            if size == 2:
+                part = tuple(each if each < 65_536 else AS_TRANS for each in part)
+            pieces.append(struct.pack(f"!BB{len(part)}{'I' if size == 4 else 'H'}", kind, len(part), *part))
+    return b"".join(pieces)
+
+
+def encode(attributes: Attributes, as4: bool, internal: bool, with_next_hop: bool) -> bytes:
+    """In the order of their types (RFC 4271 appendix F.3). The next hop of IPv6 goes into MP_REACH
+    instead."""
+    parts = [pack(WELL_KNOWN, Type.ORIGIN, bytes((attributes.origin,))),
+             pack(WELL_KNOWN, Type.AS_PATH, pack_path(attributes.as_path, 4 if as4 else 2))]
+    if with_next_hop:
+        parts.append(pack(WELL_KNOWN, Type.NEXT_HOP, attributes.next_hop))
+    if attributes.med is not None:
+        parts.append(pack(OPTIONAL, Type.MED, struct.pack("!I", attributes.med)))
+    if internal and attributes.local_pref is not None:
+        parts.append(pack(WELL_KNOWN, Type.LOCAL_PREF, struct.pack("!I", attributes.local_pref)))
+    if attributes.atomic:
+        parts.append(pack(WELL_KNOWN, Type.ATOMIC_AGGREGATE, b""))
+    if attributes.aggregator is not None:
+        asn, address = attributes.aggregator
+        narrow = asn if asn < 65_536 else AS_TRANS
+        value = struct.pack("!I", asn) if as4 else struct.pack("!H", narrow)
+        parts.append(pack(OPTIONAL | TRANSITIVE, Type.AGGREGATOR, value + address))
+    if attributes.communities:
+        value = struct.pack(f"!{len(attributes.communities)}I", *attributes.communities)
+        parts.append(pack(OPTIONAL | TRANSITIVE, Type.COMMUNITIES, value))
+    if attributes.extended:
+        parts.append(pack(OPTIONAL | TRANSITIVE, Type.EXTENDED_COMMUNITIES, attributes.extended))
+    wide = any(each > 65_535 for _, numbers in attributes.as_path for each in numbers)
+    if not as4 and wide:
+        parts.append(pack(OPTIONAL | TRANSITIVE, Type.AS4_PATH, pack_path(attributes.as_path, 4)))
+    if attributes.large:
+        value = b"".join(struct.pack("!III", *each) for each in attributes.large)
+        parts.append(pack(OPTIONAL | TRANSITIVE, Type.LARGE_COMMUNITIES, value))
+    if attributes.only_to_customer is not None:
+        parts.append(pack(OPTIONAL | TRANSITIVE, Type.ONLY_TO_CUSTOMER,
+                          struct.pack("!I", attributes.only_to_customer)))
+    parts += [pack(flags & ~LONG, kind, value) for flags, kind, value in attributes.others]
+    return b"".join(parts)
--- /dev/null
+++ b/lilacwalk/bgp/errors.py
@@ -0,0 +1,86 @@
+"""What ends a session, by the code and subcode that the RFC names for it (RFC 4271 section 6, with 4486,
+5492, 7313, 8538 and 9234)."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+
+class Code(IntEnum):
+    HEADER = 1
+    OPEN = 2
+    UPDATE = 3
+    HOLD_TIMER = 4
+    STATE_MACHINE = 5
+    CEASE = 6
+    ROUTE_REFRESH = 7  # RFC 7313 section 5
+    SEND_HOLD_TIMER = 8  # RFC 9687 section 3
+
+
+class Header(IntEnum):
+    NOT_SYNCHRONIZED = 1
+    BAD_LENGTH = 2
+    BAD_TYPE = 3
+
+
+class OpenFault(IntEnum):
+    VERSION = 1
+    PEER_AS = 2
+    ROUTER_ID = 3
+    OPTIONAL_PARAMETER = 4
+    HOLD_TIME = 6
+    CAPABILITY = 7  # RFC 5492 section 5
+    ROLE_MISMATCH = 11  # RFC 9234 section 4.2
+
+
+class UpdateFault(IntEnum):
+    ATTRIBUTE_LIST = 1
+    UNKNOWN_WELL_KNOWN = 2
+    MISSING_WELL_KNOWN = 3
+    FLAGS = 4
+    LENGTH = 5
+    ORIGIN = 6
+    NEXT_HOP = 8
+    OPTIONAL = 9
+    NETWORK = 10
+    AS_PATH = 11
+
+
+class Cease(IntEnum):
+    """RFC 4486 section 3, RFC 8538 section 3 (hard reset)."""
+
+    MAX_PREFIXES = 1
+    SHUTDOWN = 2
+    DECONFIGURED = 3
+    RESET = 4
+    REJECTED = 5
+    OTHER_CHANGE = 6
+    COLLISION = 7
+    OUT_OF_RESOURCES = 8
+    HARD_RESET = 9
+
+
+SUBCODES: dict[int, type[IntEnum]] = {Code.HEADER: Header, Code.OPEN: OpenFault, Code.UPDATE: UpdateFault,
+                                      Code.CEASE: Cease}
+# RFC 6608 section 3: which state an unexpected message came in
+UNEXPECTED_IN = {"OPEN_SENT": 1, "OPEN_CONFIRM": 2, "ESTABLISHED": 3}
+
+
+class BgpError(Exception):
+    """A fault that ends the session, told to the peer as NOTIFICATION code/subcode with this data."""
+
+    def __init__(self, code: int, subcode: int = 0, data: bytes = b"", text: str = "") -> None:
+        super().__init__(f"{reason(code, subcode)}: {text}" if text else reason(code, subcode))
+        self.code, self.subcode, self.data, self.text = code, subcode, data, text
+
+
+def reason(code: int, subcode: int) -> str:
+    """A name that logs say in full, also for codes nobody here knows."""
+    try:
+        name = Code(code).name.lower()
+    except ValueError:
+        return f"code_{code}/{subcode}"
+    try:
+        return f"{name}/{SUBCODES[code](subcode).name.lower()}"
+    except (KeyError, ValueError):
+        return f"{name}/{subcode}" if subcode else name
--- /dev/null
+++ b/lilacwalk/bgp/prefixes.py
@@ -0,0 +1,73 @@
+"""Prefixes and addresses as plain numbers (RFC 4271 section 4.3, RFC 4760 section 5)."""
+
+from __future__ import annotations
+
+import ipaddress
+from enum import IntEnum
+from typing import NamedTuple
+
+
+class Afi(IntEnum):
+    IPV4 = 1
+    IPV6 = 2
+
+
+UNICAST = 1
+WIDTH = {Afi.IPV4: 32, Afi.IPV6: 128}
+
+
+class Prefix(NamedTuple):
+    """`bits` is the network address as a number of the family's full width, host bits zero."""
+
+    afi: Afi
+    bits: int
+    length: int
+
+    @classmethod
+    def of(cls, text: str) -> Prefix:
+        """Raises ValueError with what is wrong; host bits that are set are wrong."""
+        network = ipaddress.ip_network(text)
+        return cls(Afi.IPV4 if network.version == 4 else Afi.IPV6, int(network.network_address),
+                   network.prefixlen)
+
+    def __str__(self) -> str:
+        make = ipaddress.IPv4Address if self.afi == Afi.IPV4 else ipaddress.IPv6Address
+        return f"{make(self.bits)}/{self.length}"
+
+    def covers(self, other: Prefix) -> bool:
+        shift = WIDTH[self.afi] - self.length
+        return (self.afi == other.afi and self.length <= other.length
+                and self.bits >> shift == other.bits >> shift)
+
+
+def address_bytes(text: str) -> bytes:
+    """4 or 16 bytes. Raises ValueError."""
+    return ipaddress.ip_address(text).packed
+
+
+def address_text(raw: bytes) -> str:
+    return str(ipaddress.ip_address(raw))
+
+
+def encode(prefix: Prefix) -> bytes:
+    size = (prefix.length + 7) // 8
+    return bytes((prefix.length,)) + prefix.bits.to_bytes(WIDTH[prefix.afi] // 8, "big")[:size]
+
+
+def decode(data: bytes | memoryview, afi: Afi) -> list[Prefix]:
+    """Raises ValueError where a length is over the family's width or runs past the end. Bits behind a
+    prefix's length mean nothing (RFC 4271 section 4.3) and are cleared, so that one prefix has one form."""
+    width, at, end = WIDTH[afi], 0, len(data)
+    whole, found = width // 8, []
+    while at < end:
+        length = data[at]
+        size = (length + 7) // 8
+        if length > width:
+            raise ValueError(f"a prefix length of {length}")
+        if at + 1 + size > end:
+            raise ValueError("a prefix runs past the end")
+        shift = width - length
+        bits = int.from_bytes(data[at + 1:at + 1 + size], "big") << 8 * (whole - size) >> shift << shift
+        found.append(Prefix(afi, bits, length))
+        at += 1 + size
+    return found
--- /dev/null
+++ b/lilacwalk/bgp/speaking.py
@@ -0,0 +1,245 @@
+"""The whole speaker without its sockets: the node's state in, what every peer is to be told out. Each handler
+takes the time, which never runs back; `taken` gives what the host is to do, in order."""
+
+from __future__ import annotations
+
+import random
+from itertools import count
+
+from lilacwalk.bgp.announcing import Announcing, attributes, Decision, Level, Node
+from lilacwalk.bgp.attributes import Attributes
+from lilacwalk.bgp.errors import BgpError, Cease
+from lilacwalk.bgp.peering import Action, Do, Peering
+from lilacwalk.bgp.policy import Refused
+from lilacwalk.bgp.prefixes import Afi, Prefix
+from lilacwalk.bgp.terms import Announce, Peer, SECOND
+
+STALL = SECOND  # a pass that comes this much late: the process stood still, and what came is unread
+CATCH_UP = SECOND // 2  # for the readers to hand over what waits in their sockets after that
+SHOWN = 1_000  # routes told of one peer at once: a table of millions is no answer that anybody reads
+
+
+class Speaking:
+    def __init__(self, orders: Announce, seed: int, now: int) -> None:
+        self.orders, self.rng, self.now = orders, random.Random(seed), now
+        self.announcing = Announcing(orders, now)
+        self.numbers = count(1)
+        self.peers: dict[tuple[str, int], Peering] = {}
+        self.actions: list[Action] = []
+        self.began = now
+        self.decision = Decision(Level.NONE, "cold", None)
+        self.expected = now  # when the next pass was due
+        self.ended = False
+
+    def start(self, now: int) -> None:
+        for peer in self.orders.peer:
+            self._add(peer, now)
+        self._follow(now)
+
+    def _add(self, peer: Peer, now: int) -> None:
+        made = Peering(self.orders, peer, self.numbers, self.rng, now, self._claims)
+        self.peers[peer.address] = made
+        made.wanted = self._routes(peer)
+        made.start(now)
+        self.actions += made.taken()
+
+    def _claims(self) -> tuple[bool, bool]:
+        """What an OPEN may say of a graceful restart: that this process began lately, and that the node
+        serves."""
+        asked = self.orders.graceful_restart
+        lately = asked is not None and self.now - self.began < asked.time
+        return lately, self.announcing.level is not Level.NONE
+
+    # The node
+
+    def node(self, state: Node, now: int) -> None:
+        self._at(now)
+        self.announcing.told(state, now)
+        self._follow(now)
+
+    def leave(self, now: int, door_by: int | None) -> None:
+        self._at(now)
+        self.announcing.leave(now, door_by)
+        self._follow(now)
+
+    @property
+    def door_at(self) -> int | None:
+        """Once leaving: when the door may close, at the earliest."""
+        return self.announcing.door_at if self.announcing.node in (Node.LEAVING, Node.GONE) else None
+
+    def end(self, now: int) -> None:
+        """The last words: all is withdrawn, then every session ends with a cease and the operator's text."""
+        self._at(now)
+        self.announcing.told(Node.GONE, now)
+        self._follow(now)
+        for each in self.peers.values():
+            each.stop(now, Cease.SHUTDOWN, self.orders.shutdown_text)
+            self.actions += each.taken()
+        self.ended = True
+
+    # Connections
+
+    def connected(self, address: tuple[str, int], link: int, now: int) -> None:
+        self._at(now)
+        if (peer := self._holding(address, link)) is not None:
+            peer.connected(link, now)
+            self.actions += peer.taken()
+        else:
+            self.actions.append(Action(Do.CLOSE, link))
+
+    def accepted(self, host: str, now: int) -> tuple[int, tuple[str, int]] | None:
+        """The link's number and whose it is; None: nobody that may connect from there."""
+        self._at(now)
+        for address, peer in self.peers.items():
+            if address[0] == host and (number := peer.accepted(now)):
+                self.actions += peer.taken()
+                return number, address
+        return None
+
+    def message(self, address: tuple[str, int], link: int, kind: int, body: bytes, now: int) -> None:
+        self._at(now)
+        if (peer := self._holding(address, link)) is not None:
+            peer.message(link, kind, body, now)
+            self.actions += peer.taken()
+
+    def broken(self, address: tuple[str, int], link: int, error: BgpError, now: int) -> None:
+        self._at(now)
+        if (peer := self._holding(address, link)) is not None:
+            peer.broken(link, error, now)
+            self.actions += peer.taken()
+
+    def lost(self, address: tuple[str, int], link: int, now: int, why: str) -> None:
+        self._at(now)
+        if (peer := self._holding(address, link)) is not None:
+            peer.lost(link, now, why)
+            self.actions += peer.taken()
+
+    def flushed(self, address: tuple[str, int], link: int, now: int) -> None:
+        if (peer := self._holding(address, link)) is not None:
+            peer.flushed(link, now)
+
+    def _holding(self, address: tuple[str, int], link: int) -> Peering | None:
+        """A peer that was taken out and put in again holds none of its former links."""
+        peer = self.peers.get(address)
+        return peer if peer is not None and peer._of(link) is not None else None
+
+    # Time
+
+    def _at(self, now: int) -> None:
+        self.now = max(self.now, now)
+
+    def tick(self, now: int) -> None:
+        """All that is due. After a standstill of the process nobody is given up for a silence that nobody
+        could have heard, and being ready is proven anew."""
+        self._at(now)
+        if now - self.expected > STALL:
+            late = (now - self.expected) // 10
+            self.actions.append(Action(Do.LOG, 0, {"event": "bgp_stalled", "ms": late}))
+            self.announcing.unwatched(now)
+            for peer in self.peers.values():
+                for link in peer._links():
+                    link.session.stalled(now + CATCH_UP)
+        for peer in self.peers.values():
+            peer.tick(now)
+            self.actions += peer.taken()
+        if self.decision.again is not None and self.decision.again <= now:
+            self._follow(now)
+        self.expected = self.due() or now + STALL
+
+    def due(self) -> int | None:
+        """When `tick` is wanted next."""
+        times = [time for peer in self.peers.values() if (time := peer.due()) is not None]
+        if self.decision.again is not None:
+            times.append(self.decision.again)
+        return min(times, default=None)
+
+    # What follows
+
+    def _follow(self, now: int) -> None:
+        before, self.decision = self.decision, self.announcing.decide(now)
+        if self.decision.level is not before.level:
+            self.actions.append(Action(Do.LOG, 0, {
+                "event": "announcing", "level": self.decision.level.name.lower(),
+                "node": self.announcing.node.value, "reason": self.decision.reason,
+                "penalty": round(self.announcing.penalty.now(now))}))
+            for peer in self.peers.values():
+                peer.want(self._routes(peer.peer))
+                self.actions += peer.taken()
+
+    def _routes(self, peer: Peer) -> dict[Prefix, Attributes]:
+        level = self.announcing.level
+        if level is Level.NONE:
+            return {}
+        return {service.prefix: attributes(self.orders, service, peer, level)  # type: ignore[misc]
+                for service in self.orders.service}
+
+    def taken(self) -> list[Action]:
+        actions, self.actions = self.actions, []
+        return actions
+
+    # A new file
+
+    def reordered(self, orders: Announce, now: int) -> list[str]:
+        """What changed, by name. Peers that stay keep their sessions unless what both sides agreed on at
+        their beginning changed; withdrawals of services that are gone leave at once."""
+        self._at(now)
+        changed = []
+        before, self.orders = self.orders, orders
+        self.announcing.ordered(orders, now)
+        wanted = {peer.address: peer for peer in orders.peer}
+        for address, peer in list(self.peers.items()):
+            new = wanted.get(address)
+            if new is None or not peer.reordered(orders, new):
+                subcode = Cease.DECONFIGURED if new is None else Cease.OTHER_CHANGE
+                changed.append(f"peer-{peer.name}")
+                peer.want({})  # an explicit withdrawal: the peer may keep what a mere end leaves standing
+                peer.stop(now, subcode)
+                self.actions += peer.taken()
+                del self.peers[address]
+        for address, new in wanted.items():
+            if address not in self.peers:
+                if f"peer-{new.name}" not in changed:
+                    changed.append(f"peer-{new.name}")
+                self._add(new, now)
+        if before.service != orders.service:
+            changed.append("services")
+        self.decision = self.announcing.decide(now)
+        for peer in self.peers.values():
+            peer.want(self._routes(peer.peer))
+            self.actions += peer.taken()
+        return changed
+
+    # Shown
+
+    def shown(self) -> dict[str, object]:
+        now, penalty = self.now, self.announcing.penalty
+        return {
+            "as": self.orders.as_, "router_id": self.orders.router_id,
+            "node": self.announcing.node.value, "level": self.announcing.level.name.lower(),
+            "reason": self.announcing.reason, "changes": self.announcing.changes,
+            "penalty": round(penalty.now(now)), "suppressed": penalty.suppressed,
+            "free_in_s": max(0, penalty.free_at() - now) / SECOND if penalty.suppressed else 0,
+            "services": [str(each.prefix) for each in self.orders.service],
+            "peers": [peer.shown(now) for peer in self.peers.values()],
+        }
+
+    def received(self, address: tuple[str, int]) -> list[dict[str, object]]:
+        """A peer's routes in order, each with why it is not used where it is not."""
+        peer, rows = self.peers.get(address), []
+        for afi in Afi if peer is not None else ():
+            for prefix, taken in peer.received.used(peer.rules, afi):
+                if len(rows) >= SHOWN:
+                    return rows
+                used = isinstance(taken, Attributes)
+                rows.append({"prefix": str(prefix), "used": used,
+                             "path": " ".join(str(number) for _, part in taken.as_path for number in part)
+                             if used else "", "refused": taken.reason if isinstance(taken, Refused) else ""})
+        return rows
+
+    def holding(self, prefix: Prefix) -> list[dict[str, object]]:
+        """Which peers have a usable route for it, and the longest of each."""
+        rows = []
+        for peer in self.peers.values():
+            if (found := peer.received.holding(peer.rules, prefix)) is not None:
+                rows.append({"peer": peer.name, "prefix": str(found[0]), "path_length": found[1].path_length})
+        return rows
--- /dev/null
+++ b/lilacwalk/commands/__init__.py
@@ -0,0 +1,40 @@
+"""The command line, one file a group of commands; what a command needs is imported when it is called."""
+
+from __future__ import annotations
+
+from importlib import import_module
+
+import click
+
+FOUND_IN = {"serve": "serving", "check": "serving", "announce": "announcing", "bgp": "bgp",
+            "version": "version"}
+
+
+class Commands(click.Group):
+    """Finds a command by its file, so that an app server never loads what only a tool needs."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return list(FOUND_IN)
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        if name not in FOUND_IN:
+            return None
+        return getattr(import_module(f"lilacwalk.commands.{FOUND_IN[name]}"), name)
+
+    def resolve_command(self, ctx: click.Context, args: list[str]):
+        try:
+            return super().resolve_command(ctx, args)
+        except click.UsageError as error:
+            import difflib
+            if close := difflib.get_close_matches(args[0], FOUND_IN, 1):
+                error.message += f" Did you mean '{close[0]}'?"
+            raise
+
+
+@click.group(cls=Commands, context_settings={"help_option_names": ["-h", "--help"]})
+def lilacwalk() -> None:
+    """An app server with an overload controller.
+
+    Exit codes: 0 done; 1 a defect while running; 2 the command line, a file or an address cannot be used.
+    Shell completion: eval "$(_LILACWALK_COMPLETE=bash_source lilacwalk)" (or zsh_source, fish_source).
+    """
--- /dev/null
+++ b/lilacwalk/lifecycle/announcer.py
@@ -0,0 +1,65 @@
+"""The speaker beside the deciding thread: told the node's state after each pass in which it changed, and
+asked for nothing but when a drain's door may close. Loaded only where the operator's file has an announce
+block."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from queue import SimpleQueue
+
+from lilacwalk.bgp.announcing import Node
+from lilacwalk.bgp.answering import Answering
+from lilacwalk.bgp.readiness import Facts, node
+from lilacwalk.bgp.speaker import Speaker
+from lilacwalk.bgp.terms import Announce
+
+log = logging.getLogger(__name__)
+
+
+class Announcer:
+    def __init__(self, orders: Announce, seed: int, inbox: SimpleQueue, now: Callable[[], int]) -> None:
+        """`now`: the deciding thread's clock. Raises OSError where it cannot listen."""
+        self.inbox, self.now = inbox, now
+        self.speaker = Speaker(orders, seed, self._door)
+        try:
+            self.answering = Answering(self.speaker, orders.socket) if orders.socket is not None else None
+        except OSError:
+            if self.speaker.listener is not None:
+                self.speaker.listener.close()
+            raise
+        self.told: Node | None = None
+        self.door_at: int | None = None  # on the deciding thread's clock, once the withdrawal has left
+
+    def start(self) -> None:
+        self.speaker.start()
+        if self.answering is not None:
+            self.answering.start()
+
+    def look(self, facts: tuple, now: int) -> None:
+        """`facts`: those of `readiness.Facts`, in their order."""
+        if self.told is Node.LEAVING:
+            return
+        state = node(Facts(*facts), now)
+        if state is not self.told and state is not Node.LEAVING:
+            self.told = state
+            self.speaker.node(state)
+
+    def leave(self, door_in: int) -> None:
+        self.told = Node.LEAVING
+        self.speaker.leave(door_in)
+
+    def _door(self, wait: int) -> None:
+        """In the speaker's thread: a fact for the deciding one."""
+        self.inbox.put((self._withdrawn, wait))
+
+    def _withdrawn(self, wait: int) -> None:
+        self.door_at = self.now() + wait
+
+    def door_may_close(self, now: int) -> bool:
+        return self.speaker.over.is_set() or self.door_at is not None and now >= self.door_at
+
+    def end(self, patience: float) -> None:
+        self.speaker.end(patience)
+        if self.answering is not None:
+            self.answering.end()
--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -8,13 +8,14 @@
 from dataclasses import replace
 from itertools import count
 from queue import Empty, SimpleQueue
+from typing import TYPE_CHECKING
 
 from lilacwalk.decisions.controller import Controller
 from lilacwalk.decisions.interface import AppServer, Effect, Ending, Exchange
 from lilacwalk.lifecycle.answering import Answering
 from lilacwalk.lifecycle.clock import Clock
 from lilacwalk.lifecycle.handed import addresses, CannotUseError, read
-from lilacwalk.lifecycle.limits import Limits, SECOND
+from lilacwalk.limits import Limits, SECOND
 from lilacwalk.memory.hand import Hand, InHand
 from lilacwalk.memory.kept import Kept
 from lilacwalk.wire import kernel, routers
@@ -24,6 +25,10 @@
 from lilacwalk.wire.outbox import Outbox
 from lilacwalk.wire.routers import Asked, Connection, Door
 
+if TYPE_CHECKING:
+    from lilacwalk.bgp.terms import Announce
+    from lilacwalk.lifecycle.announcer import Announcer
+
 log = logging.getLogger(__name__)
 
 
@@ -54,6 +59,8 @@
         self.fence, self.fences = "", 0
         self.kernel_ready = False  # the replay has been read
         self.stop_at = 0  # 0: no notice to leave yet
+        self.announcer: Announcer | None = None  # where the operator's own file asks for one
+        self.warm_at = 0  # when a cold start is over
         self.ended = False
         door.on_opened, door.on_messages, door.on_ended = self._opened, self._messages, self._ended
         kernel_link.on_linked, kernel_link.on_notices = self._linked, self._notices
@@ -81,6 +88,9 @@
         unsent, self.unsent = self.unsent, {}
         for outbox in unsent:
             outbox.flush()
+        if self.announcer is not None:
+            self.announcer.look((self.controller is not None, self.warm_at, self.kernel_ready,
+                                 self.out.healthy, bool(self.stop_at)), self.now)
 
     def send(self, outbox: Outbox, data: bytes) -> bool:
         """Leaves at the end of this pass, with all else for the same socket."""
@@ -280,6 +290,7 @@
         if self.controller is None:
             log.info("event=kernel_up cold=%s age_ms=%d", cold, age // 10)
             began = self.now - (age if cold else 0)
+            self.warm_at = began + self.server.warm_up if cold else 0
             self.controller = Controller(replace(self.server, just_started=cold), began)
             self.calls.append((self.controller.begin,))
             if self.stop_at:
@@ -377,11 +388,15 @@
 
     # A new configuration
 
-    def reload(self, path: str) -> None:
+    def reload(self, path: str, own: Callable | None = None) -> None:
         """SIGHUP: the parties' new addresses, while exchanges, runs and notice numbers carry on. What else
-        stands in the file is for the next start; one that cannot be used changes nothing."""
+        stands in the file is for the next start; one that cannot be used, or an operator's own file that
+        cannot, changes nothing."""
         try:
             parties = addresses(read(path))
+            if own is not None:
+                orders = own()
+                self.announce(orders.announce if orders is not None else None)
         except CannotUseError as error:
             log.warning("event=reload_failed detail=%r", str(error))
             return
@@ -393,6 +408,22 @@
         log.info("event=reloaded moved=%s", ",".join(moved) or "none")
         self.out.next_report = self.now  # a new catalog lists nobody until told
 
+    def announce(self, orders: Announce | None) -> None:
+        """What the operator's own file says of announcements, at start and after a reload."""
+        if orders is None:
+            if self.announcer is not None:
+                self.announcer.end(0.0)
+                self.announcer = None
+        elif self.announcer is not None:
+            self.announcer.speaker.reload(orders)
+        elif not self.stop_at:
+            from lilacwalk.lifecycle.announcer import Announcer
+            try:
+                self.announcer = Announcer(orders, self.server.seed, self.inbox, lambda: self.now)
+            except OSError as error:
+                raise CannotUseError(f"cannot announce: {error.strerror or error}") from None
+            self.announcer.start()
+
     # Leaving
 
     def leave(self) -> None:
@@ -404,10 +435,20 @@
         if self.controller is not None:
             self.calls.append((self.controller.leave, self.stop_at - self.limits.flush))
         grace_over = self.now + self.server.drain_grace + self.limits.look_at_idle
-        self.at(min(grace_over, self.stop_at - self.limits.flush), self._shut_the_door)
+        door_at = min(grace_over, self.stop_at - self.limits.flush)
+        if self.announcer is not None:
+            self.announcer.leave(door_at - self.now)
+        self.at(door_at, self._shut_the_door)
 
     def _shut_the_door(self) -> None:
-        """From here on nothing new would be run: a refused connection says so for less than a denial."""
+        """From here on nothing new would be run: a refused connection says so for less than a denial. Where
+        the service is announced, its withdrawal must have left, and have had its time to spread."""
+        waits = self.announcer is not None and not self.announcer.door_may_close(self.now)
+        if waits and self.now < self.stop_at - self.limits.flush:
+            self.at(self.now + SECOND // 100, self._shut_the_door)
+            return
+        if self.announcer is not None:
+            self.announcer.end(0.0)
         self.door.end()
         for connection in self.connections:
             self._ask_to_close(connection)
--- a/lilacwalk/lifecycle/handed.py
+++ b/lilacwalk/lifecycle/handed.py
@@ -6,13 +6,17 @@
 
 from lilacwalk.decisions.interface import AppServer
 from lilacwalk.handover import app_server, HandoverError
-from lilacwalk.lifecycle.limits import Limits
+from lilacwalk.limits import Limits
 
 
 class CannotUseError(Exception):
     """Told in one line: on standard error at start, in the log later."""
 
 
+class OwnFileError(CannotUseError):
+    """The operator's own file. Its text is whole: a line a fault, each with file, line and word."""
+
+
 def read(path: str) -> dict:
     try:
         with open(path, encoding="utf-8") as file:
--- a/lilacwalk/lifecycle/serve.py
+++ b/lilacwalk/lifecycle/serve.py
@@ -6,13 +6,14 @@
 import signal
 import sys
 import threading
+from collections.abc import Callable
 from dataclasses import replace
 from queue import SimpleQueue
 
 from lilacwalk.handover import row, section
 from lilacwalk.lifecycle.clock import Clock
 from lilacwalk.lifecycle.deciding import Deciding
-from lilacwalk.lifecycle.handed import addresses, CannotUseError, decode, read
+from lilacwalk.lifecycle.handed import addresses, CannotUseError, decode, OwnFileError, read
 from lilacwalk.wire.catalog import Catalog
 from lilacwalk.wire.index import Index
 from lilacwalk.wire.kernel import KernelLink
@@ -20,6 +21,7 @@
 
 log = logging.getLogger(__name__)
 STACK = 131_072  # readers and writers go a few calls deep; Python's own frames live on the heap
+LAST_WORDS = 0.05  # seconds for a speaker's last words at the very end: after a drain they were said long ago
 SWITCH = 0.001  # seconds a busy thread may keep the others waiting: answers are short, so often is cheap
 
 
@@ -40,14 +42,20 @@
     return deciding, [door, kernel_link]
 
 
-def serve(path: str) -> int:
+def serve(path: str, own: Callable | None = None) -> int:
+    """`own` reads the operator's own file and raises OwnFileError; it is asked again at each SIGHUP."""
     threading.stack_size(STACK)
     sys.setswitchinterval(SWITCH)
     inbox: SimpleQueue = SimpleQueue()
     # Before the file is read: a change that comes while starting waits in the queue, and is read again.
-    signal.signal(signal.SIGHUP, lambda *_: inbox.put((lambda: deciding.reload(path),)))
+    signal.signal(signal.SIGHUP, lambda *_: inbox.put((lambda: deciding.reload(path, own),)))
     try:
+        orders = own() if own is not None else None
         deciding, threads = build(read(path), inbox)
+        deciding.announce(orders.announce if orders is not None else None)
+    except OwnFileError as error:
+        print(error, file=sys.stderr)
+        return 2
     except CannotUseError as error:
         print(f"lilacwalk: {error}", file=sys.stderr)
         return 2
@@ -60,6 +68,9 @@
     except Exception:
         log.exception("event=deciding_failed")
         return 1
+    finally:
+        if deciding.announcer is not None:
+            deciding.announcer.end(LAST_WORDS)
     return 0
 
 
--- a/lilacwalk/lifecycle/log.py
+++ b/lilacwalk/log.py
@@ -6,14 +6,18 @@
 import sys
 import time
 
+from logfmter import Logfmter
 
-class KeyValue(logging.Formatter):
-    """`time=… level=… thread=… event=…`: one line each, an exception's trace folded into it."""
+
+class KeyValue(Logfmter):
+    """`time=… level=… part=… event=…`: one line each, an exception's trace folded into it. A message is a
+    text of key=value pairs, or a dict of them where values come from outside and need quoting."""
 
     def format(self, record: logging.LogRecord) -> str:
         stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+        pairs = self.format_params(record.msg) if isinstance(record.msg, dict) else record.getMessage()
         line = (f"time={stamp}.{int(record.msecs):03d}Z level={record.levelname.lower()} "
-                f"part={record.name.removeprefix('lilacwalk.')} {record.getMessage()}")
+                f"part={record.name.removeprefix('lilacwalk.')} {pairs}")
         if record.exc_info:
             line += f" trace={self.formatException(record.exc_info)!r}"
         return line.replace("\n", " ")
--- a/lilacwalk/memory/hand.py
+++ b/lilacwalk/memory/hand.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from lilacwalk.decisions.interface import Exchange
-from lilacwalk.wire.index import Call
-from lilacwalk.wire.routers import Connection
+
+if TYPE_CHECKING:
+    from lilacwalk.wire.index import Call
+    from lilacwalk.wire.routers import Connection
 
 
 @dataclass(eq=False, slots=True)
--- /dev/null
+++ b/lilacwalk/standins/__init__.py
@@ -0,0 +1,1 @@
+"""The other side of each protocol, written here: for tests, the demo and experiments."""
--- a/lilacwalk/wire/index.py
+++ b/lilacwalk/wire/index.py
@@ -11,8 +11,8 @@
 from queue import SimpleQueue
 
 from lilacwalk.decisions.interface import Ending
-from lilacwalk.lifecycle.limits import Limits, SECOND
-from lilacwalk.lifecycle.log import Tally
+from lilacwalk.limits import Limits, SECOND
+from lilacwalk.log import Tally
 from lilacwalk.wire.lines import LineParser
 from lilacwalk.wire.outbox import hang_up
 from lilacwalk.wire.resp import FrameError
--- a/lilacwalk/wire/kernel.py
+++ b/lilacwalk/wire/kernel.py
@@ -9,7 +9,7 @@
 from queue import SimpleQueue
 
 from lilacwalk.decisions.interface import Ending
-from lilacwalk.lifecycle.limits import Limits, SECOND
+from lilacwalk.limits import Limits, SECOND
 from lilacwalk.wire.lines import LineParser
 from lilacwalk.wire.outbox import hang_up, Outbox
 from lilacwalk.wire.resp import FrameError
--- a/lilacwalk/wire/routers.py
+++ b/lilacwalk/wire/routers.py
@@ -11,8 +11,8 @@
 from queue import SimpleQueue
 
 from lilacwalk.handover import early, late
-from lilacwalk.lifecycle.limits import Limits
-from lilacwalk.lifecycle.log import Tally
+from lilacwalk.limits import Limits
+from lilacwalk.log import Tally
 from lilacwalk.wire.outbox import hang_up, Outbox
 from lilacwalk.wire.resp import encode, FrameError, Parser
 
--- /dev/null
+++ b/tests/bgp/test_announcing.py
@@ -0,0 +1,338 @@
+"""When a node is announced and how: the states of a node against simulated time."""
+
+import math
+
+import pytest
+from hypothesis import given, strategies as st
+
+from lilacwalk.bgp import messages
+from lilacwalk.bgp.announcing import Announcing, attributes, Level, Node
+from lilacwalk.bgp.attributes import GRACEFUL_SHUTDOWN
+from lilacwalk.bgp.capabilities import Agreed, Capabilities
+from lilacwalk.bgp.damping import Penalty
+from lilacwalk.bgp.peering import Do
+from lilacwalk.bgp.readiness import Facts, node
+from lilacwalk.bgp.terms import Damping
+from tests.bgp.conftest import orders, peer_block, SECOND, speaking, THEM, update
+
+LAST = "    last-resort {\n        med 9000\n        prepend 5\n    }\n"
+MS = 10
+
+
+class Life:
+    """A node's life: what level held from when to when."""
+
+    def __init__(self, more="", **changed):
+        self.now = 1_000_000
+        self.machine = Announcing(orders(more, **changed), self.now)
+        self.levels = []
+        self.look()
+
+    def look(self):
+        self.again = self.machine.decide(self.now).again
+        if not self.levels or self.levels[-1][1] is not self.machine.level:
+            self.levels.append((self.now, self.machine.level))
+
+    def be(self, state, ms=0):
+        self.machine.told(state, self.now)
+        self.look()
+        return self.wait(ms)
+
+    def wait(self, ms):
+        end = self.now + ms * MS
+        while self.again is not None and self.again <= end:
+            assert self.again > self.now  # no time that passes nothing
+            self.now = self.again
+            self.look()
+        self.now = end
+        return self
+
+    @property
+    def level(self):
+        return self.machine.level
+
+
+def test_a_node_is_announced_once_it_has_been_ready_for_long_enough():
+    life = Life().be(Node.COLD, 500).be(Node.WARMING, 500).be(Node.READY, 19)
+    assert life.level is Level.NONE
+    assert life.wait(1).level is Level.NORMAL
+
+
+@pytest.mark.parametrize("state", [Node.COLD, Node.WARMING, Node.GONE])
+def test_a_node_that_starts_anew_or_is_gone_is_withdrawn_at_once(state):
+    assert Life().be(Node.READY, 100).be(state).level is Level.NONE
+
+
+def test_a_sick_node_is_less_wanted_then_withdrawn_and_well_again_only_after_a_while():
+    life = Life().be(Node.READY, 100).be(Node.SICK)
+    assert life.level is Level.LESS_WANTED
+    assert life.be(Node.READY, 49).level is Level.LESS_WANTED
+    assert life.wait(1).level is Level.NORMAL
+    assert life.be(Node.SICK, 99).level is Level.LESS_WANTED
+    assert life.wait(1).level is Level.NONE
+    assert life.be(Node.READY, 49).level is Level.NONE
+    assert life.wait(1).level is Level.NORMAL
+
+
+def test_a_node_that_swings_between_sick_and_well_is_withdrawn_all_the_same():
+    life = Life().be(Node.READY, 100)
+    for _ in range(4):
+        life.be(Node.SICK, 20).be(Node.READY, 10)
+    assert life.be(Node.SICK).level is Level.NONE
+
+
+def test_standing_still_for_a_moment_changes_nothing_where_the_file_gives_it_one():
+    life = Life(less_wanted_after="30ms")
+    life.be(Node.READY, 100).be(Node.STANDING_STILL, 29)
+    assert life.level is Level.NORMAL
+    assert life.wait(1).level is Level.LESS_WANTED
+
+
+def test_the_last_resort_stands_for_a_sick_node_never_for_one_that_stands_still_or_never_was_ready():
+    life = Life(LAST).be(Node.READY, 100).be(Node.SICK, 150)
+    assert life.level is Level.LAST_RESORT
+    assert life.be(Node.STANDING_STILL).level is Level.NONE
+    assert Life(LAST).be(Node.SICK, 500).level is Level.NONE
+    assert Life(LAST).be(Node.READY, 100).be(Node.SICK, 500).be(Node.READY, 60).level is Level.NORMAL
+
+
+def test_a_drain_is_less_wanted_then_withdrawn_then_the_door_may_close_and_nothing_comes_back():
+    life = Life().be(Node.READY, 100)
+    life.machine.leave(life.now, None)
+    began = life.now
+    life.look()
+    assert life.level is Level.LEAVING
+    life.wait(30)
+    assert life.level is Level.NONE and life.machine.door_at == began + 80 * MS
+    for state in (Node.READY, Node.COLD, Node.READY, Node.SICK):
+        assert life.be(state, 1000).level is Level.NONE
+
+
+@pytest.mark.parametrize("grace, less_wanted, door", [(500, 30, 80), (60, 10, 60), (50, 0, 50), (20, 0, 50)])
+def test_a_short_grace_takes_from_the_time_of_being_less_wanted_never_from_the_spreading(
+        grace, less_wanted, door):
+    life = Life().be(Node.READY, 100)
+    began = life.now
+    life.machine.leave(began, began + grace * MS)
+    life.look()
+    life.wait(1000)
+    gone = next(at for at, level in life.levels if level is Level.NONE and at >= began)
+    assert (gone - began, life.machine.door_at - began) == (less_wanted * MS, door * MS)
+
+
+def test_a_node_that_flaps_every_100_ms_for_a_minute_is_announced_a_handful_of_times_and_then_proves_itself():
+    life = Life()
+    for _ in range(300):
+        life.be(Node.READY, 100).be(Node.COLD, 100)
+    announced = [at for at, level in life.levels if level is Level.NORMAL]
+    assert 1 <= len(announced) <= 4
+    assert life.machine.penalty.suppressed and life.machine.penalty.value <= 48_000
+    since = life.now
+    life.be(Node.READY, 60_000)
+    back = life.levels[-1]
+    assert back[1] is Level.NORMAL and 25 * SECOND <= back[0] - since <= 30 * SECOND  # `longest`
+    assert all(level is Level.NONE for at, level in life.levels if since <= at < back[0])
+
+
+def test_one_that_flaps_too_fast_to_be_announced_is_held_back_for_it_as_well():
+    life = Life(ready_for="200ms")
+    for _ in range(20):
+        life.be(Node.READY, 100).be(Node.COLD, 100)
+    assert life.be(Node.READY, 1000).level is Level.NONE and "damped" in life.machine.reason
+
+
+def test_a_withdrawal_is_never_damped():
+    life = Life().be(Node.READY, 100)
+    for _ in range(10):
+        life.machine.penalty.add(1000, life.now)
+    assert life.be(Node.COLD).level is Level.NONE
+
+
+def test_the_penalty_halves_in_its_half_life_whatever_the_times_it_is_asked_at():
+    asked, alone = (Penalty(Damping(half_life=SECOND, longest=10 * SECOND)) for _ in range(2))
+    for each in (asked, alone):
+        each.add(4000, 0)
+    for now in range(0, 2 * SECOND, 777):
+        asked.holds(now)
+    assert alone.now(SECOND) == 2000 and math.isclose(asked.now(2 * SECOND), 1000)
+    free = alone.free_at()
+    assert alone.holds(free - 1) and not alone.holds(free) and asked.holds(free - 1)
+
+
+states = st.lists(st.tuples(st.sampled_from([each for each in Node if each is not Node.GONE]),
+                            st.integers(0, 400)), max_size=40)
+
+
+@given(states, st.booleans())
+def test_whatever_the_order_of_states_only_a_steady_ready_node_becomes_announced(order, last):
+    life, ready_since, left = Life(LAST if last else ""), None, False
+    for state, ms in order:
+        before = life.level
+        life.levels = []
+        began = life.now
+        if not left:
+            ready_since = (ready_since if ready_since is not None else began) if state is Node.READY else None
+            left = state is Node.LEAVING
+        life.be(state, ms)
+        for at, level in life.levels[:]:
+            if level > before:
+                assert ready_since is not None and not left, (state, level)
+                assert before is not Level.NONE or at >= ready_since + 20 * MS
+            before = level
+        if left:
+            assert life.now < began + 30 * MS or life.level is Level.NONE or state is not Node.LEAVING
+        if state in (Node.COLD, Node.WARMING) and not left:
+            assert life.level is Level.NONE
+
+
+def test_less_wanted_is_said_in_every_way_that_routers_know():
+    made = orders(peer_block() + LAST)
+    service, peer = made.service[0], made.peer[0]
+    normal, less, last, leaving = (attributes(made, service, peer, level) for level in (
+        Level.NORMAL, Level.LESS_WANTED, Level.LAST_RESORT, Level.LEAVING))
+    assert (normal.path_length, normal.med, normal.communities) == (1, None, ())
+    assert (less.path_length, less.med, less.communities) == (3, 77, (GRACEFUL_SHUTDOWN,))
+    assert (last.path_length, last.med) == (6, 9000)
+    assert (leaving.path_length, leaving.communities) == (1, (GRACEFUL_SHUTDOWN,))
+    inside = orders(peer_block("127.0.0.1:1790", 65010) + LAST)
+    assert [attributes(inside, inside.service[0], inside.peer[0], level).local_pref for level in (
+        Level.NORMAL, Level.LESS_WANTED, Level.LEAVING)] == [100, 0, 0]
+
+
+READY = Facts(booted=True, warm_at=0, linked=True, healthy=True, leaving=False)
+
+
+@pytest.mark.parametrize("change, state", [
+    ({}, Node.READY), ({"booted": False, "linked": False}, Node.COLD), ({"warm_at": 200}, Node.WARMING),
+    ({"warm_at": 50}, Node.READY), ({"linked": False}, Node.STANDING_STILL), ({"healthy": False}, Node.SICK),
+    ({"leaving": True, "booted": False}, Node.LEAVING), ({"failed": True, "leaving": True}, Node.GONE)])
+def test_the_nodes_state_is_read_from_what_the_deciding_thread_knows(change, state):
+    assert node(READY._replace(**change), 100) is state
+
+
+# Together with peers
+
+class Speaker:
+    """A whole speaker without sockets, beside a peer that answers by hand."""
+
+    def __init__(self, more="", **changed):
+        self.now, self.machine = 1_000_000, speaking(more, **changed)
+        self.peer = next(iter(self.machine.peers.values()))
+
+    def up(self):
+        if not self.peer.main.number:
+            self.tick(SECOND)
+        link, address = self.peer.main.number, self.peer.peer.address
+        self.machine.connected(address, link, self.now)
+        for data in (messages.encode(messages.Open(THEM, 9, "127.0.0.20", Capabilities(
+                families=((1, 1),), as4=THEM))), messages.encode(messages.Keepalive())):
+            [(kind, body)] = messages.Stream().feed(data)
+            self.machine.message(address, link, kind, body, self.now)
+        return self
+
+    def tick(self, time=0):
+        end = self.now + time
+        while (due := self.machine.due()) is not None and due <= end:
+            self.now = max(due, self.now)
+            self.machine.tick(self.now)
+        self.now = end
+        self.machine.tick(self.now)
+        return self
+
+    def sent(self):
+        """What was announced (`+`), withdrawn (`-`) and notified since it was asked last."""
+        found = []
+        for action in self.machine.taken():
+            if action.do is Do.SEND:
+                for kind, body in messages.Stream().feed(action.about):
+                    if kind == 2:
+                        each = messages.decode(2, body, Agreed(as4=True))
+                        found += ["+"] * len(each.announced) + ["-"] * len(each.withdrawn)
+                    elif kind == 3:
+                        found.append(f"cease/{body[1]}")
+        return found
+
+
+def test_a_session_dropped_in_a_drain_before_its_withdrawal_gets_nothing_when_it_is_back():
+    speaker = Speaker().up()
+    speaker.machine.node(Node.READY, speaker.now)
+    assert speaker.tick(100 * MS).sent() == ["+"]
+    speaker.machine.leave(speaker.now, speaker.now + 500 * MS)
+    speaker.machine.lost(speaker.peer.peer.address, speaker.peer.main.number, speaker.now, "reset")
+    assert "+" in speaker.sent()  # less wanted, before the loss
+    speaker.tick(40 * MS).up()
+    assert speaker.tick(5 * SECOND).sent() == []
+
+
+@pytest.mark.parametrize("wait", [0, 10])
+def test_a_session_that_comes_back_within_the_drains_first_part_learns_that_it_is_less_wanted(wait):
+    speaker = Speaker(graceful_shutdown="1s").up()
+    speaker.machine.node(Node.READY, speaker.now)
+    speaker.tick(100 * MS).sent()
+    speaker.machine.leave(speaker.now, None)
+    speaker.machine.lost(speaker.peer.peer.address, speaker.peer.main.number, speaker.now, "reset")
+    speaker.tick(500 * MS).sent()
+    assert speaker.up().sent() == ["+"] and speaker.peer.told[speaker.machine.orders.service[0].prefix
+                                                              ].communities == (GRACEFUL_SHUTDOWN,)
+    assert speaker.tick(SECOND).sent() == ["-"]
+
+
+def test_a_session_dropped_after_the_withdrawal_left_gets_nothing_when_it_is_back():
+    speaker = Speaker().up()
+    speaker.machine.node(Node.READY, speaker.now)
+    speaker.tick(100 * MS).sent()
+    speaker.machine.leave(speaker.now, None)
+    assert speaker.tick(60 * MS).sent() == ["+", "-"]
+    speaker.machine.lost(speaker.peer.peer.address, speaker.peer.main.number, speaker.now, "reset")
+    speaker.tick(SECOND).up()
+    assert speaker.tick(SECOND).sent() == []
+
+
+def test_a_process_that_stood_still_gives_nobody_up_for_what_it_could_not_hear():
+    speaker = Speaker().up()
+    speaker.machine.node(Node.READY, speaker.now)
+    speaker.tick(100 * MS).sent()
+    speaker.now += 60 * SECOND  # a stop and a continue, or a clock that leapt
+    speaker.machine.tick(speaker.now)
+    assert speaker.peer.established and speaker.sent() == []
+    speaker.machine.message(speaker.peer.peer.address, speaker.peer.main.number, 4, b"", speaker.now)
+    speaker.machine.flushed(speaker.peer.peer.address, speaker.peer.main.number, speaker.now)
+    assert speaker.tick(SECOND).peer.established
+    assert speaker.tick(30 * SECOND).peer.downs == 1  # but in the end for what it did not say
+
+
+def test_a_new_file_adds_and_removes_services_and_peers_without_ending_the_sessions_that_stay():
+    speaker = Speaker().up()
+    speaker.machine.node(Node.READY, speaker.now)
+    speaker.tick(100 * MS).sent()
+    two = "    service 192.0.2.11/32\n" + peer_block() + peer_block("127.0.0.1:1791")
+    assert speaker.machine.reordered(orders(two), speaker.now) == ["peer-127.0.0.1:1791", "services"]
+    assert speaker.sent() == ["+"] and speaker.peer.established and len(speaker.machine.peers) == 2
+    assert speaker.machine.reordered(orders(peer_block()), speaker.now) == ["peer-127.0.0.1:1791", "services"]
+    assert speaker.sent() == ["-"] and speaker.peer.established
+    assert speaker.machine.reordered(orders(peer_block("127.0.0.1:1790", 65021)), speaker.now) == [
+        "peer-127.0.0.1:1790"]
+    assert speaker.sent() == ["-", "cease/6"]
+    assert speaker.machine.reordered(orders(), speaker.now) == ["peer-127.0.0.1:1790"]
+
+
+def test_a_drain_under_way_is_not_undone_by_a_new_file():
+    speaker = Speaker().up()
+    speaker.machine.node(Node.READY, speaker.now)
+    speaker.tick(100 * MS).sent()
+    speaker.machine.leave(speaker.now, None)
+    speaker.tick(60 * MS).sent()
+    speaker.machine.reordered(orders("    service 192.0.2.11/32\n" + peer_block()), speaker.now)
+    assert speaker.tick(5 * SECOND).sent() == []
+
+
+def test_the_end_withdraws_all_and_says_why_and_what_was_received_is_shown():
+    speaker = Speaker().up()
+    speaker.machine.node(Node.READY, speaker.now)
+    address, link = speaker.peer.peer.address, speaker.peer.main.number
+    speaker.machine.message(address, link, 2, update("10.0.0.0/8")[19:], speaker.now)
+    [row] = speaker.machine.received(address)
+    assert row["refused"] == "no import policy"  # RFC 8212
+    speaker.tick(100 * MS).sent()
+    speaker.machine.end(speaker.now)
+    assert speaker.sent() == ["-", "cease/2"] and speaker.machine.ended
--- /dev/null
+++ b/tests/bgp/test_trie.py
@@ -0,0 +1,61 @@
+"""The trie beside a plain dict, under any order of insertions and removals."""
+
+from hypothesis import given, strategies as st
+
+from lilacwalk.bgp.prefixes import Afi, Prefix
+from lilacwalk.bgp.trie import Trie
+
+
+def cut(bits, length):
+    return bits >> (32 - length) << (32 - length)
+
+
+# few distinct bits, so that prefixes nest, part and meet again
+keys = st.tuples(st.integers(0, 31).map(lambda each: each << 27 | each << 2), st.integers(0, 32)).map(
+    lambda pair: (cut(*pair), pair[1]))
+
+
+def covers(outer, inner):
+    return outer[1] <= inner[1] and cut(inner[0], outer[1]) == outer[0]
+
+
+@given(st.lists(st.tuples(keys, st.booleans()), max_size=60), keys)
+def test_any_history_leaves_what_a_dict_would_hold_and_every_question_answered_alike(history, asked):
+    trie, plain = Trie(Afi.IPV4), {}
+    for order, (key, inserts) in enumerate(history):
+        if inserts:
+            assert trie.set(*key, order) == plain.get(key)
+            plain[key] = order
+        else:
+            assert trie.drop(*key) == plain.pop(key, None)
+        assert len(trie) == len(plain)
+
+    def rows(found):
+        return [((prefix.bits, prefix.length), value) for prefix, value in found]
+    assert rows(trie.walk()) == sorted(plain.items())
+    assert rows(trie.covering(*asked)) == sorted(
+        (each for each in plain.items() if covers(each[0], asked)), key=lambda each: each[0][1])
+    assert rows(trie.covered(*asked)) == sorted(each for each in plain.items() if covers(asked, each[0]))
+    assert trie.get(*asked) == plain.get(asked)
+    best = max((key for key in plain if covers(key, (asked[0], 32))), key=lambda key: key[1], default=None)
+    found = trie.longest(asked[0])
+    assert (None if found is None else (found[0].bits, found[0].length)) == best
+
+
+@given(st.lists(keys, max_size=60, unique=True))
+def test_an_emptied_trie_holds_no_node(rows):
+    trie = Trie(Afi.IPV4)
+    for key in rows:
+        trie.set(*key, 1)
+    for key in reversed(rows):
+        trie.drop(*key)
+    assert trie.root is None and len(trie) == 0
+
+
+def test_ipv6_prefixes_of_every_length_nest_without_recursion():
+    trie = Trie(Afi.IPV6)
+    bits = int("20010db8" + "f" * 24, 16)
+    for length in range(129):
+        trie.set(bits >> (128 - length) << (128 - length), length, length)
+    assert [value for _, value in trie.covering(bits, 128)] == list(range(129))
+    assert trie.longest(bits, 64)[0] == Prefix(Afi.IPV6, bits >> 64 << 64, 64)
--- a/tests/test_app_server.py
+++ b/tests/test_app_server.py
@@ -8,13 +8,13 @@
 from queue import Empty, SimpleQueue
 
 import pytest
-from conftest import PATIENCE, plain, SETTINGS
+from tests.conftest import PATIENCE, plain, SETTINGS
 
 from lilacwalk.decisions.interface import Ending
 from lilacwalk.lifecycle import serve
 from lilacwalk.lifecycle.deciding import PartFailedError
-from lilacwalk.lifecycle.limits import Limits
-from lilacwalk.lifecycle.log import KeyValue
+from lilacwalk.limits import Limits
+from lilacwalk.log import KeyValue
 from lilacwalk.wire.index import Call, Index
 from lilacwalk.wire.resp import encode
 from lilacwalk.wire.routers import Connection
