Fronts: what brings exchanges is a thing of its own, RESP2 the first of them

Need: devices and uwsgi gateways are to be served by the same decisions, and one front's flood must leave the others their room.

Each front has its own bound of exchanges in hand. The circle between answering and deciding is gone: answering states what it needs.

--- a/lilacwalk/bgp/trie.py
+++ b/lilacwalk/bgp/trie.py
@@ -21,10 +21,14 @@
 
 
 class Node:
-    __slots__ = ("bits", "length", "value", "zero", "one")
+    """`shift` is what stands behind its length, `head` its own bits without that: a key lies under it where
+    `key >> shift == head`. `part` is the bit that says which branch."""
 
-    def __init__(self, bits: int, length: int, value: object) -> None:
-        self.bits, self.length, self.value = bits, length, value
+    __slots__ = ("head", "shift", "part", "value", "zero", "one")
+
+    def __init__(self, bits: int, shift: int, value: object) -> None:
+        self.head, self.shift, self.value = bits >> shift, shift, value
+        self.part = max(0, shift - 1)  # a whole address has no branches: whichever bit is looked at
         self.zero: Node | None = None
         self.one: Node | None = None
 
@@ -41,34 +45,30 @@
     def __len__(self) -> int:
         return self.count
 
-    def _shared(self, left: int, right: int, most: int) -> int:
-        """How many leading bits both have, `most` at most."""
-        return min(most, self.width - (left ^ right).bit_length())
-
     def set(self, bits: int, length: int, value: V) -> V | None:
         """The value that stood there before."""
-        width, above, side, node = self.width, None, 0, self.root
-        while node is not None:
-            common = self._shared(bits, node.bits, min(length, node.length))
-            if common < node.length:
-                break
-            if node.length == length:
-                before, node.value = node.value, value
-                if before is not BRANCH:
-                    return before  # type: ignore[return-value]
-                self.count += 1
-                return None
-            above, side = node, bits >> (width - 1 - node.length) & 1
+        shift, above, side, node = self.width - length, None, 0, self.root
+        while node is not None and node.shift > shift and bits >> node.shift == node.head:
+            above, side = node, bits >> node.part & 1
             node = node.one if side else node.zero
-        new = Node(bits, length, value)
+        if node is not None and node.shift == shift and node.head == bits >> shift:
+            before, node.value = node.value, value
+            if before is not BRANCH:
+                return before  # type: ignore[return-value]
+            self.count += 1
+            return None
+        new = Node(bits, shift, value)
         self.count += 1
         if node is None:
             self._hang(above, side, new)
-        elif common == length:  # the new one covers what stands here
+            return None
+        theirs = node.head << node.shift
+        common = max(shift, node.shift, (bits ^ theirs).bit_length())  # behind the bits that both share
+        if common == shift:  # the new one covers what stands here
             self._under(new, node)
             self._hang(above, side, new)
         else:
-            fork = Node(bits >> (width - common) << (width - common) if common else 0, common, BRANCH)
+            fork = Node(bits, common, BRANCH)
             self._under(fork, node)
             self._under(fork, new)
             self._hang(above, side, fork)
@@ -82,29 +82,35 @@
         else:
             above.zero = node
 
-    def _under(self, above: Node, node: Node) -> None:
-        if node.bits >> (self.width - 1 - above.length) & 1:
+    @staticmethod
+    def _under(above: Node, node: Node) -> None:
+        if node.head >> (above.part - node.shift) & 1:
             above.one = node
         else:
             above.zero = node
 
-    def get(self, bits: int, length: int) -> V | None:
-        node, width = self.root, self.width
-        while node is not None and node.length < length:
-            node = node.one if bits >> (width - 1 - node.length) & 1 else node.zero
-        if node is None or node.length != length or node.bits != bits or node.value is BRANCH:
+    def _find(self, bits: int, length: int) -> Node | None:
+        shift, node = self.width - length, self.root
+        while node is not None and node.shift > shift:
+            node = node.one if bits >> node.part & 1 else node.zero
+        if node is None or node.shift != shift or node.head != bits >> shift or node.value is BRANCH:
             return None
-        return node.value  # type: ignore[return-value]
+        return node
+
+    def get(self, bits: int, length: int) -> V | None:
+        node = self._find(bits, length)
+        return None if node is None else node.value  # type: ignore[return-value]
 
     def drop(self, bits: int, length: int) -> V | None:
         """The value that stood there; a fork that parts nothing any more goes with it."""
         above, side, node = None, 0, self.root
         over, over_side = None, 0  # what `above` hangs on
-        while node is not None and node.length < length:
+        shift = self.width - length
+        while node is not None and node.shift > shift:
             over, over_side = above, side
-            above, side = node, bits >> (self.width - 1 - node.length) & 1
+            above, side = node, bits >> node.part & 1
             node = node.one if side else node.zero
-        if node is None or node.length != length or node.bits != bits or node.value is BRANCH:
+        if node is None or node.shift != shift or node.head != bits >> shift or node.value is BRANCH:
             return None
         value = node.value
         self.count -= 1
@@ -116,38 +122,33 @@
             self._hang(over, over_side, above.zero or above.one)
         return value  # type: ignore[return-value]
 
+    def _prefix(self, node: Node) -> Prefix:
+        return Prefix(self.afi, node.head << node.shift, self.width - node.shift)
+
     def covering(self, bits: int, length: int) -> Iterator[tuple[Prefix, V]]:
         """All prefixes that hold this one, itself among them, the shortest first."""
-        node, width = self.root, self.width
-        while node is not None and node.length <= length:
-            if (bits ^ node.bits) >> (width - node.length):
-                return
+        shift, node = self.width - length, self.root
+        while node is not None and node.shift >= shift and bits >> node.shift == node.head:
             if node.value is not BRANCH:
-                yield Prefix(self.afi, node.bits, node.length), node.value  # type: ignore[misc]
-            if node.length == width:
-                return
-            node = node.one if bits >> (width - 1 - node.length) & 1 else node.zero
+                yield self._prefix(node), node.value  # type: ignore[misc]
+            node = node.one if bits >> node.part & 1 else node.zero
 
     def longest(self, bits: int, length: int | None = None) -> tuple[Prefix, V] | None:
         """The longest prefix that holds this address, or this prefix."""
-        best, node, width = None, self.root, self.width
-        most = width if length is None else length
-        while node is not None and node.length <= most:
-            if (bits ^ node.bits) >> (width - node.length):
-                break
+        best, node = None, self.root
+        least = 0 if length is None else self.width - length
+        while node is not None and bits >> node.shift == node.head and node.shift >= least:
             if node.value is not BRANCH:
                 best = node
-            if node.length == width:
-                break
-            node = node.one if bits >> (width - 1 - node.length) & 1 else node.zero
-        return None if best is None else (Prefix(self.afi, best.bits, best.length), best.value)  # type: ignore
+            node = node.one if bits >> node.part & 1 else node.zero
+        return None if best is None else (self._prefix(best), best.value)  # type: ignore[return-value]
 
     def covered(self, bits: int, length: int) -> Iterator[tuple[Prefix, V]]:
         """All prefixes that this one holds, itself among them, in order."""
-        node, width = self.root, self.width
-        while node is not None and node.length < length:
-            node = node.one if bits >> (width - 1 - node.length) & 1 else node.zero
-        if node is not None and not (bits ^ node.bits) >> (width - length):
+        shift, node = self.width - length, self.root
+        while node is not None and node.shift > shift:
+            node = node.one if bits >> node.part & 1 else node.zero
+        if node is not None and node.head >> (shift - node.shift) == bits >> shift:
             yield from self._walk(node)
 
     def walk(self) -> Iterator[tuple[Prefix, V]]:
@@ -160,7 +161,7 @@
         while stack:
             node = stack.pop()
             if node.value is not BRANCH:
-                yield Prefix(self.afi, node.bits, node.length), node.value  # type: ignore[misc]
+                yield self._prefix(node), node.value  # type: ignore[misc]
             if node.one is not None:
                 stack.append(node.one)
             if node.zero is not None:
--- /dev/null
+++ b/lilacwalk/fronts/resp2.py
@@ -0,0 +1,143 @@
+"""The routers' front: their connections, which of them stay, and their words for the three answers."""
+
+from __future__ import annotations
+
+import logging
+
+from lilacwalk.fronts.seam import Asked, Final, Host, Reply
+from lilacwalk.wire import routers
+from lilacwalk.wire.routers import Connection, Door
+
+log = logging.getLogger(__name__)
+WORDS = {Final.COMPLETED: b"done", Final.DENIED: b"later", Final.TERMINATED: b"error"}
+
+
+class Resp2:
+    name = "resp2"
+
+    def __init__(self, host: Host, door: Door, most: int) -> None:
+        self.host, self.door, self.most, self.in_hand = host, door, most, 0
+        self.limits = host.limits
+        self.connections: dict[Connection, None] = {}
+        door.on_opened, door.on_messages, door.on_ended = self.opened, self.messages, self.ended
+
+    # What the deciding thread asks of a front
+
+    def answered(self, caller: Connection, tag: int, reply: Reply) -> None:
+        caller.last_used = self.host.now
+        self.send(caller, routers.answer(tag, WORDS[reply.final], routers.said(self.host.value), reply.body,
+                                         reply.come_back, reply.not_elsewhere))
+
+    def bad(self, caller: Connection, tag: int, reason: str) -> None:
+        """Answered on its tag, and told like all that peers do wrong: few lines, however many there are."""
+        if count := self.door.bad_messages.due():
+            log.warning("event=bad_message count=%d peer=%s reason=%r", count, caller.peer, reason)
+        if tag:
+            self.say(caller, tag, b"error")
+
+    def tick(self, now: int, stood_still: bool) -> None:
+        if not stood_still:  # else what came is unread, and nobody is closed for it
+            self._close_idle(now)
+
+    def leave(self, now: int) -> None:
+        pass
+
+    def shut(self) -> None:
+        self.door.end()
+        for connection in self.connections:
+            self._ask_to_close(connection)
+
+    def done(self) -> bool:
+        return not self.connections
+
+    def flushed(self) -> bool:
+        return all(connection.outbox.flushed for connection in self.connections)
+
+    # Connections
+
+    def send(self, connection: Connection, data: bytes) -> None:
+        """A router that has stopped reading is cut off, before what it leaves unread fills the memory."""
+        if not connection.cut and not self.host.send(connection.outbox, data):
+            log.warning("event=connection_ended peer=%s reason=stopped_reading", connection.peer)
+            connection.cut_off(reset=True)
+
+    def say(self, connection: Connection, tag: int, word: bytes) -> None:
+        self.send(connection, routers.answer(tag, word, routers.said(self.host.value)))
+
+    def opened(self, connection: Connection) -> None:
+        connection.front = self
+        connection.last_used = self.host.now
+        self.connections[connection] = None
+        if len(self.connections) > self.limits.crowded:
+            self._make_room()
+        if self.door.shut_down:
+            self._ask_to_close(connection)
+
+    def ended(self, connection: Connection) -> None:
+        """Its callers are gone with it."""
+        self.connections.pop(connection, None)
+        connection.cut = True
+        connection.outbox.end()
+        self.door.left()
+        for each in list(connection.open.values()):
+            self.host.gone(each)
+
+    def messages(self, connection: Connection, messages: list[tuple]) -> None:
+        connection.ahead.put(None)
+        if connection.cut:
+            return
+        connection.last_used = self.host.now
+        for verb, tag, about in messages:
+            connection.sound = connection.sound or bool(verb)
+            if connection.cut:
+                return
+            if verb == "SUBMIT":
+                self._submitted(connection, tag, about)
+            elif verb == "WITHDRAW":
+                if tag in connection.open:
+                    self.host.gone(connection.open[tag])
+            elif verb == "PROBE":
+                self.say(connection, tag, b"healthy" if self.host.healthy else b"sick")
+            elif tag not in connection.open:
+                self.bad(connection, tag, about)
+
+    def _submitted(self, connection: Connection, tag: int, asked: Asked) -> None:
+        if tag in connection.open:
+            self.bad(connection, 0, "tag used twice")
+            connection.cut_off()  # whichever were answered, its sender could take it for the other
+        elif len(connection.open) >= self.limits.open_exchanges:
+            self.bad(connection, tag, "too many open")
+        elif wrong := self.host.asked(connection, tag, asked):
+            self.bad(connection, tag, wrong)
+
+    def _close_idle(self, now: int) -> None:
+        """Those that the controller wants closed. And at once those that say nothing after they connected, or
+        stop in the middle of a message: they are no routers, and would take the routers' places."""
+        after = self.host.close_idle_after or self.limits.routers_idle
+        for each in self.connections:
+            if (each.begun or not each.sound) and now - each.last_used > self.limits.message:
+                each.cut_off()
+            elif each.open:
+                continue
+            elif each.closing_since:
+                if now - each.closing_since > self.limits.closing:
+                    each.cut_off()
+            elif now - each.last_used > after:
+                self._ask_to_close(each)
+        self._make_room()
+
+    def _make_room(self) -> None:
+        """Where a flood fills the table, those that never said anything go first, then the longest idle, last
+        the new ones: who has something to ask finds room, also while its question is on its way."""
+        standing = [each for each in self.connections if not each.cut]
+        if (too_many := len(standing) - self.limits.crowded) > 0:
+            idle = [each for each in standing if not each.open]
+            new = self.host.now - self.limits.young
+            idle.sort(key=lambda each: (1 if each.sound else 2 * (each.last_used > new), each.last_used))
+            for each in idle[:too_many]:
+                each.cut_off()
+
+    def _ask_to_close(self, connection: Connection) -> None:
+        if not connection.closing_since:
+            connection.closing_since = self.host.now
+            self.send(connection, routers.CLOSING)
--- a/lilacwalk/lifecycle/answering.py
+++ b/lilacwalk/lifecycle/answering.py
@@ -3,23 +3,45 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import Protocol
 
+from lilacwalk.decisions.controller import Controller
 from lilacwalk.decisions.interface import Effect, Ending, Exchange
-from lilacwalk.memory.hand import InHand
-from lilacwalk.wire import kernel, routers
-from lilacwalk.wire.index import Call
-from lilacwalk.wire.outbox import hang_up
-from lilacwalk.wire.routers import Connection
-
-if TYPE_CHECKING:
-    from lilacwalk.lifecycle.deciding import Deciding
+from lilacwalk.fronts.seam import Final, Reply
+from lilacwalk.limits import Limits
+from lilacwalk.memory.hand import Hand, InHand
+from lilacwalk.memory.kept import Kept
+from lilacwalk.wire import kernel
+from lilacwalk.wire.index import Call, Index
+from lilacwalk.wire.outbox import hang_up, Outbox
 
 log = logging.getLogger(__name__)
 
 
+class Host(Protocol):
+    """What of the deciding thread the controller's decisions are carried out with."""
+
+    now: int
+    limits: Limits
+    hand: Hand
+    kept: Kept
+    index: Index
+    calls: list[tuple]
+    controller: Controller | None
+    kernel: Outbox | None
+    kernel_ready: bool
+
+    def at(self, time: int, action: Callable, *arguments) -> None: ...
+    def send(self, outbox: Outbox, data: bytes) -> bool: ...
+    def forget(self, each: InHand, result: bytes | None) -> None: ...
+    def call_timed_out(self, each: InHand, call: Call) -> None: ...
+    def ask_for_gauges(self) -> None: ...
+    def timer_due(self) -> None: ...
+
+
 class Answering:
-    def __init__(self, host: Deciding) -> None:
+    def __init__(self, host: Host) -> None:
         self.host = host
         self.healthy = True
         self.value: float | None = None  # the free value; None: nothing is said
@@ -28,29 +50,20 @@
 
     # What both the controller's decisions and the host's own handlers use
 
-    def send(self, connection: Connection, data: bytes) -> None:
-        """A router that has stopped reading is cut off, before what it leaves unread fills the memory."""
-        if not connection.cut and not self.host.send(connection.outbox, data):
-            log.warning("event=connection_ended peer=%s reason=stopped_reading", connection.peer)
-            connection.cut_off(reset=True)
-
-    def say(self, connection: Connection, tag: int, word: bytes) -> None:
-        self.send(connection, routers.answer(tag, word, routers.said(self.value)))
-
-    def answer(self, each: InHand, word: bytes, body: bytes | memoryview = b"", **more) -> None:
+    def answer(self, each: InHand, final: Final, body: bytes | memoryview = b"", come_back: int = 0,
+               not_elsewhere: bool = False) -> None:
         """The one final answer, unless it was given or its caller is gone."""
-        connection = self.host.hand.settled(each)
-        if connection is not None:
-            connection.last_used = self.host.now
-            self.send(connection, routers.answer(each.tag, word, routers.said(self.value), body, **more))
+        caller = self.host.hand.settled(each)
+        if caller is not None:
+            caller.front.answered(caller, each.tag, Reply(final, body, come_back, not_elsewhere))
 
     def answer_joined(self, each: InHand, result: bytes | None) -> None:
         host = self.host
         each.waits_for = None
         if result is None:
-            self.answer(each, b"error")
+            self.answer(each, Final.TERMINATED)
         else:
-            self.answer(each, b"done", result)
+            self.answer(each, Final.COMPLETED, result)
         host.calls.append((host.controller.finished, each.ex, Ending.ERROR if result is None else Ending.OK))
         host.hand.drop(each)
 
@@ -71,14 +84,14 @@
     def deny(self, ex: Exchange, come_back: int = 0, not_elsewhere: bool = False) -> None:
         each = self.host.hand.by_exchange.get(ex)
         if each is not None:
-            self.answer(each, b"later", come_back=come_back, not_elsewhere=not_elsewhere)
+            self.answer(each, Final.DENIED, b"", come_back, not_elsewhere)
             if not ex.ran:
                 self.host.forget(each, None)
 
     def terminate(self, ex: Exchange) -> None:
         each = self.host.hand.by_exchange.get(ex)
         if each is not None:
-            self.answer(each, b"error")
+            self.answer(each, Final.TERMINATED)
             if not ex.ran:
                 self.host.forget(each, None)
 
--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -12,18 +12,20 @@
 
 from lilacwalk.decisions.controller import Controller
 from lilacwalk.decisions.interface import AppServer, Effect, Ending, Exchange
+from lilacwalk.fronts.resp2 import Resp2
+from lilacwalk.fronts.seam import Asked, Caller, Final, Front, Reply
 from lilacwalk.lifecycle.answering import Answering
 from lilacwalk.lifecycle.clock import Clock
 from lilacwalk.lifecycle.handed import addresses, CannotUseError, read
 from lilacwalk.limits import Limits, SECOND
 from lilacwalk.memory.hand import Hand, InHand
 from lilacwalk.memory.kept import Kept
-from lilacwalk.wire import kernel, routers
+from lilacwalk.wire import kernel
 from lilacwalk.wire.catalog import Catalog
 from lilacwalk.wire.index import Call, Index, Line
 from lilacwalk.wire.kernel import KernelLink
 from lilacwalk.wire.outbox import Outbox
-from lilacwalk.wire.routers import Asked, Connection, Door
+from lilacwalk.wire.routers import Door
 
 if TYPE_CHECKING:
     from lilacwalk.bgp.terms import Announce
@@ -46,7 +48,6 @@
         self.now = clock.now()
         self.groups = {group.name: group for group in server.groups}
         self.customers = {customer.name: customer for customer in server.customers}
-        self.connections: dict[Connection, None] = {}
         self.hand, self.kept = Hand(), Kept(limits.kept, limits.kept_bytes)
         self.due_times: list[tuple] = []
         self.order = count()
@@ -62,7 +63,8 @@
         self.announcer: Announcer | None = None  # where the operator's own file asks for one
         self.warm_at = 0  # when a cold start is over
         self.ended = False
-        door.on_opened, door.on_messages, door.on_ended = self._opened, self._messages, self._ended
+        self.resp2 = Resp2(self, door, limits.in_hand)
+        self.fronts: list[Front] = [self.resp2]
         kernel_link.on_linked, kernel_link.on_notices = self._linked, self._notices
         kernel_link.on_lost = self._lost
         index.on_over = self._call_ended
@@ -126,85 +128,53 @@
             self.out.next_report = self.now + self.limits.report_every
             self.catalog.report(self.out.healthy)
             self.kept.sweep(self.now)
-        if self.now - due < self.limits.look_at_idle:  # else all stood still, and what came is unread
-            self._close_idle()
+        for front in self.fronts:
+            front.tick(self.now, self.now - due >= self.limits.look_at_idle)
         self.index.rest(self.now - self.limits.index_idle)
 
-    # Routers
-
-    def _opened(self, connection: Connection) -> None:
-        connection.last_used = self.now
-        self.connections[connection] = None
-        if len(self.connections) > self.limits.crowded:
-            self._make_room()
-        if self.stop_at and self.door.shut_down:
-            self._ask_to_close(connection)
-
-    def _ended(self, connection: Connection) -> None:
-        """Its callers are gone with it."""
-        self.connections.pop(connection, None)
-        connection.cut = True
-        connection.outbox.end()
-        self.door.left()
-        for each in list(connection.open.values()):
-            self._gone(each)
-
-    def _messages(self, connection: Connection, messages: list[tuple]) -> None:
-        connection.ahead.put(None)
-        if connection.cut:
-            return
-        connection.last_used = self.now
-        for verb, tag, about in messages:
-            connection.sound = connection.sound or bool(verb)
-            if connection.cut:
-                return
-            if verb == "SUBMIT":
-                self._asked(connection, tag, about)
-            elif verb == "WITHDRAW":
-                if tag in connection.open:
-                    self._gone(connection.open[tag])
-            elif verb == "PROBE":
-                self.out.say(connection, tag, b"healthy" if self.out.healthy else b"sick")
-            elif tag not in connection.open:
-                self._bad(connection, tag, about)
-
-    def _asked(self, connection: Connection, tag: int, asked: Asked) -> None:
-        if tag in connection.open:
-            self._bad(connection, 0, "tag used twice")
-            connection.cut_off()  # whichever were answered, its sender could take it for the other
-            return
+    # Fronts
+
+    @property
+    def healthy(self) -> bool:
+        return self.out.healthy
+
+    @property
+    def value(self) -> float | None:
+        return self.out.value
+
+    @property
+    def close_idle_after(self) -> int:
+        return self.out.close_idle_after
+
+    def asked(self, caller: Caller, tag: int, asked: Asked) -> str:
+        """Takes an exchange in hand, or says what is wrong with it. Its front sees to the tag and to how many
+        the caller has open."""
         group = self.groups.get(asked.group)
         customer = self.customers.get(asked.customer)
         wrong = (
             "unknown endpoint group" if group is None else
             "unknown customer" if customer is None and self.customers and asked.customer else
-            "id in use" if asked.id in self.hand.by_id else
-            "too many open" if len(connection.open) >= self.limits.open_exchanges else "")
+            "id in use" if asked.id in self.hand.by_id else "")
         if wrong:
-            self._bad(connection, tag, wrong)
-            return
+            return wrong
+        front = caller.front
         arrived = min(asked.arrived + self.clock.ahead, self.now)
         wait = group.async_timeout if asked.wait is None else asked.wait
         name, earlier = self._earlier(group, asked)
-        if self.controller is None or len(self.hand) >= self.limits.in_hand or name and self.kept.full:
-            self.out.say(connection, tag, b"later")  # there is no room, or nothing to run it on yet
-            return
+        full = len(self.hand) >= self.limits.in_hand or front.in_hand >= front.most
+        if self.controller is None or full or name and self.kept.full:
+            front.answered(caller, tag, Reply(Final.DENIED))  # no room, or nothing to run it on yet
+            return ""
         ex = Exchange(
             group=group, arrived=arrived, read=self.now, due=max(arrived + wait, self.now),
             hold_kb=asked.hold_kb, customer=customer, work_hint=asked.work_hint, retry=asked.retry,
             caller=asked.caller, repeats=earlier)
-        each = InHand(ex, asked.id, tag, connection, asked.group, bytes(asked.body), name)
+        each = InHand(ex, asked.id, tag, caller, asked.group, bytes(asked.body), name)
         self.hand.take(each)
         if name and group.effect is Effect.REPEATABLE and earlier is None:
             self.kept.enter(name, ex, None)
         self.calls.append((self.controller.arrive, ex))
-
-    def _bad(self, connection: Connection, tag: int, reason: str) -> None:
-        """Answered on its tag, and told like all that peers do wrong: few lines, however many there are."""
-        if count := self.door.bad_messages.due():
-            log.warning("event=bad_message count=%d peer=%s reason=%r", count, connection.peer, reason)
-        if tag:
-            self.out.say(connection, tag, b"error")
+        return ""
 
     def _earlier(self, group, asked: Asked) -> tuple[tuple | None, Exchange | None]:
         """The name under which a repeat of it would be known, and the exchange that it repeats itself."""
@@ -217,45 +187,12 @@
         entry = self.kept.find(name, self.now)
         return name, entry.ex if entry is not None else None
 
-    def _gone(self, each: InHand) -> None:
+    def gone(self, each: InHand) -> None:
         self.hand.settled(each)
         self.calls.append((self.controller.gone, each.ex))
         if not each.ex.ran:  # nothing more will be heard of it
             self.forget(each, None)
 
-    def _close_idle(self) -> None:
-        """Those that the controller wants closed. And at once those that say nothing after they connected, or
-        stop in the middle of a message: they are no routers, and would take the routers' places."""
-        now = self.now
-        after = self.out.close_idle_after or self.limits.routers_idle
-        for each in self.connections:
-            if (each.begun or not each.sound) and now - each.last_used > self.limits.message:
-                each.cut_off()
-            elif each.open:
-                continue
-            elif each.closing_since:
-                if now - each.closing_since > self.limits.closing:
-                    each.cut_off()
-            elif now - each.last_used > after:
-                self._ask_to_close(each)
-        self._make_room()
-
-    def _make_room(self) -> None:
-        """Where a flood fills the table, those that never said anything go first, then the longest idle, last
-        the new ones: who has something to ask finds room, also while its question is on its way."""
-        standing = [each for each in self.connections if not each.cut]
-        if (too_many := len(standing) - self.limits.crowded) > 0:
-            idle = [each for each in standing if not each.open]
-            new = self.now - self.limits.young
-            idle.sort(key=lambda each: (1 if each.sound else 2 * (each.last_used > new), each.last_used))
-            for each in idle[:too_many]:
-                each.cut_off()
-
-    def _ask_to_close(self, connection: Connection) -> None:
-        if not connection.closing_since:
-            connection.closing_since = self.now
-            self.out.send(connection, routers.CLOSING)
-
     # The kernel
 
     def _linked(self, outbox: Outbox, opening: bytes) -> None:
@@ -319,9 +256,9 @@
             self.index.give_up(each.call)
             each.call = None
         if ending is Ending.OK:
-            self.out.answer(each, b"done", result)
+            self.out.answer(each, Final.COMPLETED, result)
         else:
-            self.out.answer(each, b"error")
+            self.out.answer(each, Final.TERMINATED)
         self.calls.append((self.controller.finished, each.ex, ending))
         self.forget(each, bytes(result) if ending is Ending.OK and each.kept_as else None)
 
@@ -340,12 +277,12 @@
         each = self.hand.by_id.get(ident)
         if each is None:
             return
-        if command == "SCHED" and each.connection is not None:
-            self._bad(each.connection, 0, "an exchange that the kernel does not know")
+        if command == "SCHED" and each.caller is not None:
+            each.caller.front.bad(each.caller, 0, "an exchange that the kernel does not know")
         elif command != "SCHED":
             log.error("event=command_rejected command=%s id=%s", command, ident)
         if command == "SCHED" or command in ("IODONE", "NOIO") and not each.sent_again:
-            self.out.answer(each, b"error")
+            self.out.answer(each, Final.TERMINATED)
             self.calls.append((self.controller.finished, each.ex, Ending.MOOT))
             self.forget(each, None)
 
@@ -373,7 +310,7 @@
         each = self.hand.by_id.get(call.ident)
         if each is None or each.call is not call:
             return
-        if ending is Ending.OK and each.connection is not None:
+        if ending is Ending.OK and each.caller is not None:
             self.out.command(each, kernel.reply(call.ident, body))
         self._call_over(each, ending)
 
@@ -431,9 +368,11 @@
         if self.stop_at:
             return
         self.stop_at = self.now + self.limits.stop
-        log.info("event=leaving in_hand=%d connections=%d", len(self.hand), len(self.connections))
+        log.info("event=leaving in_hand=%d connections=%d", len(self.hand), len(self.resp2.connections))
         if self.controller is not None:
             self.calls.append((self.controller.leave, self.stop_at - self.limits.flush))
+        for front in self.fronts:
+            front.leave(self.now)
         grace_over = self.now + self.server.drain_grace + self.limits.look_at_idle
         door_at = min(grace_over, self.stop_at - self.limits.flush)
         if self.announcer is not None:
@@ -449,9 +388,8 @@
             return
         if self.announcer is not None:
             self.announcer.end(0.0)
-        self.door.end()
-        for connection in self.connections:
-            self._ask_to_close(connection)
+        for front in self.fronts:
+            front.shut()
         self._see_to_the_end()
 
     def believed(self) -> str:
@@ -467,11 +405,12 @@
         late = self.now >= self.stop_at - self.limits.flush // 2
         if late:
             for each in list(self.hand.by_id.values()):
-                self.out.answer(each, b"error")
-        flushed = all(connection.outbox.flushed for connection in self.connections)
-        if not self.connections or late and flushed or self.now >= self.stop_at - self.limits.flush // 4:
+                self.out.answer(each, Final.TERMINATED)
+        flushed = all(front.flushed() for front in self.fronts)
+        gone = all(front.done() for front in self.fronts)
+        if gone or late and flushed or self.now >= self.stop_at - self.limits.flush // 4:
             log.info("event=stopped connections=%d flushed=%s %s",
-                     len(self.connections), flushed, self.believed())
+                     len(self.resp2.connections), flushed, self.believed())
             self.ended = True
         else:
             self.at(self.now + SECOND // 100, self._see_to_the_end)
--- a/lilacwalk/memory/hand.py
+++ b/lilacwalk/memory/hand.py
@@ -1,4 +1,4 @@
-"""The exchanges in hand: by id, by connection and tag, and by the module's own object."""
+"""The exchanges in hand: by id, by caller and tag, and by the module's own object."""
 
 from __future__ import annotations
 
@@ -8,8 +8,8 @@
 from lilacwalk.decisions.interface import Exchange
 
 if TYPE_CHECKING:
+    from lilacwalk.fronts.seam import Caller
     from lilacwalk.wire.index import Call
-    from lilacwalk.wire.routers import Connection
 
 
 @dataclass(eq=False, slots=True)
@@ -19,7 +19,7 @@
     ex: Exchange
     id: str
     tag: int
-    connection: Connection | None  # None: answered, or its caller is gone
+    caller: Caller | None  # None: answered, or it is gone
     group: str  # as the wire names it
     body: bytes
     kept_as: tuple | None = None  # its name in the table of keys and results
@@ -43,15 +43,17 @@
     def take(self, each: InHand) -> None:
         self.by_id[each.id] = each
         self.by_exchange[each.ex] = each
-        if each.connection is not None:
-            each.connection.open[each.tag] = each
-
-    def settled(self, each: InHand) -> Connection | None:
-        """Takes it off its connection: from now on nobody waits for its answer."""
-        connection, each.connection = each.connection, None
-        if connection is not None:
-            del connection.open[each.tag]
-        return connection
+        if each.caller is not None:
+            each.caller.open[each.tag] = each
+            each.caller.front.in_hand += 1
+
+    def settled(self, each: InHand) -> Caller | None:
+        """Takes it off its caller: from now on nobody waits for its answer."""
+        caller, each.caller = each.caller, None
+        if caller is not None:
+            del caller.open[each.tag]
+            caller.front.in_hand -= 1
+        return caller
 
     def drop(self, each: InHand) -> None:
         if self.by_id.get(each.id) is each:
--- /dev/null
+++ b/lilacwalk/standins/kernel.py
@@ -0,0 +1,133 @@
+"""A kernel that links one app server at a time and runs what it is told to, each run for as long as `work`
+says, on so many cores; without a call unless a group is said to make one."""
+
+from __future__ import annotations
+
+import heapq
+import socket
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+
+from lilacwalk.wire.lines import LineParser
+from lilacwalk.wire.resp import FrameError
+
+
+class Kernel:
+    """Numbers its notices and replays them on a new link, as the protocol says. `ran` counts the runs by id,
+    so that an effect had twice is seen."""
+
+    def __init__(self, cores: int = 1, work: Callable[[str, bytes], float] = lambda group, body: 0.0,
+                 result: Callable[[str, bytes], bytes] = lambda group, body: b"ok") -> None:
+        self.cores, self.work, self.result = cores, work, result
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = self.listener.getsockname()
+        self.ran: dict[str, int] = {}
+        self.finished = 0
+        self.over = False
+        self.began = time.monotonic()
+        self.lock = threading.Condition()
+        self.link: socket.socket | None = None
+        self.notices: deque[tuple[int, bytes]] = deque(maxlen=4_000)
+        self.number = 0
+        self.waiting: deque[tuple[str, str, bytes]] = deque()
+        self.running: list[tuple[float, int, str, str, bytes]] = []  # by their ends
+        self.known: set[str] = set()
+        self.order = 0
+        for target in (self._accept, self._run):
+            threading.Thread(target=target, daemon=True).start()
+
+    def end(self) -> None:
+        with self.lock:
+            self.over = True
+            self.lock.notify_all()
+        for sock in (self.listener, self.link):
+            if sock is not None:
+                try:
+                    sock.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass
+                sock.close()
+
+    def lose_link(self) -> None:
+        if self.link is not None:
+            self.link.shutdown(socket.SHUT_RDWR)
+
+    def _accept(self) -> None:
+        while not self.over:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        parser = LineParser(lambda words: words[0] in ("SCHED", "IODONE"), 512, 65_536)
+        try:
+            while chunk := sock.recv(65_536):
+                for words, body in parser.feed(chunk):
+                    self._told(sock, words, b"" if body is None else bytes(body))
+        except (OSError, FrameError):
+            pass
+        with self.lock:
+            if self.link is sock:
+                self.link = None
+        sock.close()
+
+    def _told(self, sock: socket.socket, words: list[str], body: bytes) -> None:
+        with self.lock:
+            if words[0] == "OPEN":
+                self.link = sock
+                age = int((time.monotonic() - self.began) * 1000)
+                sock.sendall(b"BOOTED steady %d\r\n" % (age + 60_000))
+                for number, data in self.notices:
+                    if number > int(words[1]):
+                        sock.sendall(data)
+            elif words[0] == "SYSINFO":
+                busy = len(self.running) / self.cores
+                sock.sendall(f"INFO {words[1]} {min(1.0, busy)} {len(self.waiting)}\r\n".encode())
+            elif words[0] == "SCHED" and words[1] not in self.known:
+                self.known.add(words[1])
+                self.waiting.append((words[1], words[2], body))
+                self._start()
+                self.lock.notify_all()
+            elif words[0] == "PREEMPT":
+                for each in [each for each in self.running if each[2] == words[1]]:
+                    self.running.remove(each)
+                    heapq.heapify(self.running)
+                    self._notice(words[1], b"interrupted", b"")
+                for row in [row for row in self.waiting if row[0] == words[1]]:
+                    self.waiting.remove(row)
+                    self._notice(words[1], b"interrupted", b"")
+                self._start()
+
+    def _start(self) -> None:
+        while self.waiting and len(self.running) < self.cores:
+            ident, group, body = self.waiting.popleft()
+            self.ran[ident] = self.ran.get(ident, 0) + 1
+            self.order += 1
+            end = time.monotonic() + self.work(group, body)
+            heapq.heappush(self.running, (end, self.order, ident, group, body))
+
+    def _run(self) -> None:
+        with self.lock:
+            while not self.over:
+                now = time.monotonic()
+                while self.running and self.running[0][0] <= now:
+                    _, _, ident, group, body = heapq.heappop(self.running)
+                    self.finished += 1
+                    self._notice(ident, b"success", self.result(group, body))
+                    self._start()
+                self.lock.wait(self.running[0][0] - now if self.running else None)
+
+    def _notice(self, ident: str, end: bytes, result: bytes) -> None:
+        self.number += 1
+        data = b"REAP %d %b %b 1 %d\r\n%b\r\n" % (self.number, ident.encode(), end, len(result), result)
+        self.notices.append((self.number, data))
+        if self.link is not None:
+            try:
+                self.link.sendall(data)
+            except OSError:
+                pass
--- /dev/null
+++ b/lilacwalk/standins/till.py
@@ -0,0 +1,67 @@
+"""A caller of the routers' protocol: asks, remembers each answer and how many came for one tag."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from itertools import count
+
+from lilacwalk.wire.resp import encode, FrameError, Parser
+
+IDENTS = count(1)
+
+
+class Till:
+    def __init__(self, address: tuple[str, int], customer: str = "acme") -> None:
+        self.customer = customer
+        self.sock = socket.create_connection(address, 10.0)
+        self.sock.settimeout(None)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.changed = threading.Condition()
+        self.asked: dict[int, float] = {}
+        self.answers: dict[int, list[tuple[float, str, bytes]]] = {}
+        self.tags = count(1)
+        self.gone = False
+        threading.Thread(target=self._read, daemon=True).start()
+
+    def ask(self, group: str, body: bytes = b"hello", wait_ms: int = 1000, **fields: object) -> int:
+        tag = next(self.tags)
+        fields = {"i": f"{0x5000_0000_0000 + next(IDENTS):016x}", "s": int(time.time() * 1000), "d": wait_ms,
+                  "t": self.customer, "m": "8.0", "p": "0.5"} | fields
+        text = ",".join(f"{name}={value}" for name, value in fields.items())
+        with self.changed:
+            self.asked[tag] = time.monotonic()
+        self.sock.sendall(encode(b"SUBMIT", b"%d" % tag, group.encode(), text.encode(), body))
+        return tag
+
+    def answer(self, tag: int, patience: float = 10.0) -> tuple[float, str, bytes]:
+        """When it came, its word and its body. Raises TimeoutError."""
+        with self.changed:
+            if not self.changed.wait_for(lambda: tag in self.answers or self.gone, patience):
+                raise TimeoutError(f"no answer to {tag}")
+            return self.answers[tag][0]
+
+    def end(self) -> None:
+        try:
+            self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        self.sock.close()
+
+    def _read(self) -> None:
+        parser = Parser(8, 65_536, 65_536)
+        try:
+            while chunk := self.sock.recv(65_536):
+                for parts in parser.feed(chunk):
+                    tag, word = int(bytes(parts[0])), bytes(parts[1]).decode()
+                    body = bytes(parts[3]) if len(parts) > 3 else b""
+                    if tag:
+                        with self.changed:
+                            self.answers.setdefault(tag, []).append((time.monotonic(), word, body))
+                            self.changed.notify_all()
+        except (OSError, FrameError, ValueError):
+            pass
+        with self.changed:
+            self.gone = True
+            self.changed.notify_all()
--- a/lilacwalk/wire/routers.py
+++ b/lilacwalk/wire/routers.py
@@ -7,9 +7,9 @@
 import socket
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass
 from queue import SimpleQueue
 
+from lilacwalk.fronts.seam import Asked
 from lilacwalk.handover import early, late
 from lilacwalk.limits import Limits
 from lilacwalk.log import Tally
@@ -26,24 +26,6 @@
     """Well framed, yet not to be understood."""
 
 
-@dataclass(slots=True)
-class Asked:
-    """One exchange as its router states it, in tenths of a ms of the Unix clock."""
-
-    id: str
-    group: str
-    customer: str
-    caller: int
-    arrived: int
-    wait: int | None  # None: not told
-    work_hint: int
-    hold_kb: float
-    retry: bool
-    subject: str
-    key: str
-    body: memoryview
-
-
 def number(fields: dict[str, str], name: str, least: float, most: float,
            default: float | None = None) -> float:
     text = fields.get(name)
@@ -112,7 +94,7 @@
     batches, a few at a time, so that a router that floods waits for itself."""
 
     __slots__ = ("sock", "peer", "limits", "inbox", "door", "outbox", "ahead", "cut", "begun", "open",
-                 "last_used", "closing_since", "sound")
+                 "front", "last_used", "closing_since", "sound")
 
     def __init__(self, sock: socket.socket, peer: str, limits: Limits, inbox: SimpleQueue,
                  door: Door) -> None:
@@ -124,6 +106,7 @@
         self.cut = False
         self.begun = False  # a message whose end is still due
         # The deciding thread's own.
+        self.front = None
         self.open: dict = {}  # exchanges in hand by tag
         self.last_used = 0
         self.closing_since = 0  # 0: not asked to close
--- a/tests/test_app_server.py
+++ b/tests/test_app_server.py
@@ -126,7 +126,7 @@
     deciding, _ = serve.build(make_site().handed, SimpleQueue())
     ours, theirs = socket.socketpair()
     connection = Connection(ours, "router", deciding.limits, deciding.inbox, deciding.door)
-    deciding._opened(connection)
+    deciding.resp2.opened(connection)
     due = deciding.now + deciding.limits.look_at_idle
     deciding.now += 2 * deciding.limits.message
     deciding._look_around(due)
