Edge for devices: a link whose sessions, answers and repeats outlive its connections

Need: outlet tablets sit on links that stall for seconds and come back; each exchange read must get one final answer by its due time and no effect twice, whatever the link does in between.

Off in run: its file is empty.

--- /dev/null
+++ b/lilacwalk/fronts/devices.py
@@ -0,0 +1,122 @@
+"""The devices' front as the deciding thread sees it: a caller for each session that has something in hand.
+The edge's own thread does the rest; between both go facts over their queues."""
+
+from __future__ import annotations
+
+import logging
+import os
+from itertools import count
+from queue import SimpleQueue
+
+import xxhash
+
+from lilacwalk.edge.host import EdgeError, EdgeHost
+from lilacwalk.edge.repeats import COMPLETED, DENIED, TERMINATED
+from lilacwalk.edge.serving import Asking, Group
+from lilacwalk.edge.session import Session
+from lilacwalk.edge.terms import Edge
+from lilacwalk.fronts.seam import Asked, Final, Host, Reply
+
+log = logging.getLogger(__name__)
+WORDS = {Final.COMPLETED: COMPLETED, Final.DENIED: DENIED, Final.TERMINATED: TERMINATED}
+HOLD_KB = 8.0  # booked for an exchange whose device states nothing
+CALLER = 1 << 52  # devices' caller numbers lie above all that routers use
+
+
+class Caller:
+    """One session with exchanges in hand."""
+
+    __slots__ = ("open", "peer", "front", "session")
+
+    def __init__(self, session: Session, front: Devices) -> None:
+        self.open: dict = {}
+        self.peer = session.device.decode("utf-8", "replace")
+        self.front, self.session = front, session
+
+
+class Devices:
+    name = "devices"
+
+    def __init__(self, host: Host, orders: Edge, groups: dict[str, Group], node: str, seed: int,
+                 inbox: SimpleQueue, now) -> None:
+        """`now`: a clock as the deciding thread's, for the edge's thread alone. Raises EdgeError, OSError."""
+        self.host, self.most, self.in_hand = host, orders.in_hand, 0
+        self.orders, self.inbox = orders, inbox
+        self.callers: dict[Session, Caller] = {}
+        self.idents = count(int.from_bytes(os.urandom(8), "big"))  # far from what routers draw, most likely
+        self.edge = EdgeHost(orders, groups, node, seed, now, self._ask, self._gone)
+        self.shutting = False
+
+    def start(self) -> None:
+        self.edge.start()
+
+    # In the edge's thread
+
+    def _ask(self, session: Session, number: int, asking: Asking) -> None:
+        self.inbox.put((self.asked, session, number, asking))
+
+    def _gone(self, session: Session, number: int) -> None:
+        self.inbox.put((self.gone, session, number))
+
+    # In the deciding thread
+
+    def asked(self, session: Session, number: int, asking: Asking) -> None:
+        caller = self.callers.get(session)
+        if caller is None:
+            caller = self.callers[session] = Caller(session, self)
+        ask = asking.ask
+        wrong = self.host.asked(caller, number, Asked(
+            id=f"{next(self.idents) % (1 << 64):016x}", group=ask.group, customer=asking.customer,
+            caller=CALLER | xxhash.xxh32_intdigest(session.device), arrived=asking.arrived, wait=asking.wait,
+            work_hint=ask.work * 10, hold_kb=float(ask.hold) or HOLD_KB, retry=asking.retry,
+            subject=ask.subject, key=ask.key, body=ask.body))
+        if wrong:
+            self.bad(caller, number, wrong)
+
+    def gone(self, session: Session, number: int) -> None:
+        caller = self.callers.get(session)
+        if caller is not None and number in caller.open:
+            self.host.gone(caller.open[number])
+            self._rest(caller)
+
+    def answered(self, caller: Caller, tag: int, reply: Reply) -> None:
+        self.edge.answered(caller.session, tag, WORDS[reply.final], bytes(reply.body), reply.come_back)
+        self._rest(caller)
+
+    def bad(self, caller: Caller, tag: int, reason: str) -> None:
+        if tag:
+            self.edge.answered(caller.session, tag, TERMINATED, b"", 0)
+            self._rest(caller)
+
+    def _rest(self, caller: Caller) -> None:
+        if not caller.open:
+            self.callers.pop(caller.session, None)
+
+    def tick(self, now: int, stood_still: bool) -> None:
+        pass
+
+    def leave(self, now: int) -> None:
+        self.edge.put(lambda: self.edge.serving.leave(self.orders.session_time // 600))
+
+    def shut(self) -> None:
+        self.shutting = True
+        self.edge.put(self.edge.serving.close_all)
+
+    def done(self) -> bool:
+        return self.edge.over.is_set() or self.shutting and self.edge.serving.shut and self.edge.serving.idle
+
+    def flushed(self) -> bool:
+        return self.edge.over.is_set() or not any(wire.queue for wire in list(self.edge.wires.values()))
+
+    def reload(self, orders: Edge) -> None:
+        """Raises EdgeError."""
+        if orders.listen != self.orders.listen:
+            log.warning({"event": "edge_reload", "detail": "listen is for the next start"})
+        self.edge.reload(orders)
+        self.orders = orders
+
+    def end(self, patience: float) -> None:
+        self.edge.end(patience)
+
+
+__all__ = ["Devices", "EdgeError"]
--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -8,7 +8,7 @@
 from dataclasses import replace
 from itertools import count
 from queue import Empty, SimpleQueue
-from typing import TYPE_CHECKING
+from typing import Protocol, TYPE_CHECKING
 
 from lilacwalk.decisions.controller import Controller
 from lilacwalk.decisions.interface import AppServer, Effect, Ending, Exchange
@@ -29,11 +29,20 @@
 
 if TYPE_CHECKING:
     from lilacwalk.bgp.terms import Announce
+    from lilacwalk.edge.terms import Edge
+    from lilacwalk.fronts.devices import Devices
     from lilacwalk.lifecycle.announcer import Announcer
 
 log = logging.getLogger(__name__)
 
 
+class Orders(Protocol):
+    """What the operator's own file says; what is not there is off."""
+
+    announce: Announce | None
+    edge: Edge | None
+
+
 class PartFailedError(Exception):
     """A part without which this app server cannot go on has failed."""
 
@@ -60,6 +69,7 @@
         self.fence, self.fences = "", 0
         self.kernel_ready = False  # the replay has been read
         self.stop_at = 0  # 0: no notice to leave yet
+        self.devices: Devices | None = None  # likewise
         self.announcer: Announcer | None = None  # where the operator's own file asks for one
         self.warm_at = 0  # when a cold start is over
         self.ended = False
@@ -333,7 +343,7 @@
             parties = addresses(read(path))
             if own is not None:
                 orders = own()
-                self.announce(orders.announce if orders is not None else None)
+                self.ordered(orders)
         except CannotUseError as error:
             log.warning("event=reload_failed detail=%r", str(error))
             return
@@ -345,8 +355,43 @@
         log.info("event=reloaded moved=%s", ",".join(moved) or "none")
         self.out.next_report = self.now  # a new catalog lists nobody until told
 
+    def ordered(self, orders: Orders | None) -> None:
+        """The operator's own file, at start and after a reload. Raises CannotUseError, and nothing has
+        changed."""
+        self._edge(orders.edge if orders is not None else None)
+        self.announce(orders.announce if orders is not None else None)
+
+    def _edge(self, orders: Edge | None) -> None:
+        """Devices come and go with the program: a reload takes new certificates, secrets and bounds."""
+        if orders is None:
+            if self.devices is not None:
+                log.warning("event=reload_ignored detail='the edge ends with the program, not its block'")
+        elif self.devices is not None or self.stop_at:
+            if self.devices is not None:
+                from lilacwalk.edge.host import EdgeError
+                try:
+                    self.devices.reload(orders)
+                except EdgeError as error:
+                    raise CannotUseError(str(error)) from None
+        else:
+            try:
+                from lilacwalk.edge.serving import Group
+                from lilacwalk.fronts.devices import Devices, EdgeError
+            except ImportError as error:
+                raise CannotUseError(f"edge: {error}: requirements-edge.txt names what it needs") from None
+            groups = {group.name: Group(group.effect, group.async_timeout) for group in self.server.groups}
+            try:
+                self.devices = Devices(self, orders, groups, self.catalog.name, self.server.seed, self.inbox,
+                                       Clock().now)
+            except (EdgeError, OSError) as error:
+                raise CannotUseError(f"edge: {error}") from None
+            self.fronts.append(self.devices)
+            self.devices.start()
+            log.info("event=edge_started listen=%s:%d sessions=%d", *self.devices.edge.address,
+                     orders.sessions)
+
     def announce(self, orders: Announce | None) -> None:
-        """What the operator's own file says of announcements, at start and after a reload."""
+        """What the operator's own file says of announcements."""
         if orders is None:
             if self.announcer is not None:
                 self.announcer.end(0.0)
--- a/lilacwalk/lifecycle/serve.py
+++ b/lilacwalk/lifecycle/serve.py
@@ -52,7 +52,7 @@
     try:
         orders = own() if own is not None else None
         deciding, threads = build(read(path), inbox)
-        deciding.announce(orders.announce if orders is not None else None)
+        deciding.ordered(orders)
     except OwnFileError as error:
         print(error, file=sys.stderr)
         return 2
@@ -69,8 +69,9 @@
         log.exception("event=deciding_failed")
         return 1
     finally:
-        if deciding.announcer is not None:
-            deciding.announcer.end(LAST_WORDS)
+        for each in (deciding.announcer, deciding.devices):
+            if each is not None:
+                each.end(LAST_WORDS)
     return 0
 
 
--- a/lilacwalk/operator/check.py
+++ b/lilacwalk/operator/check.py
@@ -13,9 +13,14 @@
     except CannotReadError as error:
         print(error, file=sys.stderr)
         return 2
+    code = 0
+    if made is None or made.edge is None:
+        print("edge=off")
+    else:
+        code = edge(made.edge)
     if made is None or made.announce is None:
         print("announce=off")
-        return 0
+        return code
     asked = made.announce
     print(f"announce as={asked.as_} router_id={asked.router_id} ready_for_ms={asked.ready_for / 10:g} "
           f"propagation_ms={asked.propagation / 10:g} hold_time_s={asked.hold_time // 10_000}")
@@ -24,4 +29,21 @@
     for peer in asked.peer:
         print(f"peer={peer.name} as={peer.as_} mode={peer.mode} import={peer.import_ or 'none'} "
               f"export={peer.export or 'all'} max_prefixes={peer.max_prefixes}")
+    return code
+
+
+def edge(asked) -> int:
+    """Also what the file names: secrets, certificates and keys that cannot be used are found here, not at a
+    start."""
+    from lilacwalk.edge.host import context, EdgeError, read_secrets
+    print(f"edge listen={asked.listen[0]}:{asked.listen[1]} sessions={asked.sessions} kept={asked.kept} "
+          f"tls={'off' if asked.tls is None else 'mutual' if asked.tls.mutual else 'on'}")
+    try:
+        print(f"secrets={len(read_secrets(asked.secrets))}")
+        if asked.tls is not None:
+            context(asked.tls)
+            print(f"certificate={asked.tls.certificate} key={asked.tls.key} fit=yes")
+    except EdgeError as error:
+        print(f"lilacwalk: {error}", file=sys.stderr)
+        return 2
     return 0
--- a/lilacwalk/operator/schema.py
+++ b/lilacwalk/operator/schema.py
@@ -12,6 +12,7 @@
 from msgspec import Meta, Struct
 
 from lilacwalk.bgp.terms import Announce
+from lilacwalk.edge.terms import Edge
 from lilacwalk.operator.syntax import Fault, Statement
 from lilacwalk.operator.units import flag, UNITS, whole
 
@@ -20,6 +21,7 @@
     """All that the operator's own file can say; what is not there is off."""
 
     announce: Announce | None = None
+    edge: Edge | None = None
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/lilacwalk/standins/proxy.py
@@ -0,0 +1,140 @@
+"""A bad link between a device and the edge: delay, bandwidth, stalls of seconds, resets, all drawn from a
+seed. What TCP makes of loss is a stall and a burst, so for TCP loss is played as that (Gilbert-Elliott: a
+good and a bad state)."""
+
+from __future__ import annotations
+
+import heapq
+import random
+import socket
+import struct
+import threading
+import time
+from dataclasses import dataclass
+from itertools import count
+
+
+@dataclass(frozen=True)
+class Weather:
+    """Times in seconds, rates in bytes a second; each chance is for one chunk of a link."""
+
+    delay: float = 0.05
+    jitter: float = 0.02
+    rate: float = 20_000.0
+    to_bad: float = 0.02  # from the good state to the bad one
+    to_good: float = 0.5
+    stall: tuple[float, float] = (0.5, 2.0)  # for a chunk in the bad state
+    reset: float = 0.0
+
+
+class Proxy:
+    def __init__(self, to: tuple[str, int], weather: Weather, seed: int) -> None:
+        self.to, self.weather, self.rng = to, weather, random.Random(seed)
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=1024)
+        self.address = self.listener.getsockname()
+        self.pairs: list[tuple[socket.socket, socket.socket]] = []
+        self.stalled_until = 0.0
+        self.order = count()
+        self.due: list[tuple] = []
+        self.lock = threading.Condition()
+        self.over = False
+        self.stalls = self.resets = self.bytes = 0
+        for target in (self._accept, self._deliver):
+            threading.Thread(target=target, daemon=True).start()
+
+    def stall(self, seconds: float) -> None:
+        """All links stand still for so long from now."""
+        with self.lock:
+            self.stalled_until = time.monotonic() + seconds
+
+    def reset_all(self) -> None:
+        with self.lock:
+            pairs, self.pairs = self.pairs, []
+        for pair in pairs:
+            self._reset(pair)
+
+    def end(self) -> None:
+        with self.lock:
+            self.over = True
+            self.lock.notify_all()
+        self.listener.close()
+        self.reset_all()
+
+    def _reset(self, pair: tuple[socket.socket, socket.socket]) -> None:
+        for sock in pair:
+            try:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+            sock.close()
+
+    def _accept(self) -> None:
+        while not self.over:
+            try:
+                near, _ = self.listener.accept()
+                far = socket.create_connection(self.to, 5.0)
+            except OSError:
+                if self.over:
+                    return
+                continue
+            far.settimeout(None)
+            pair = (near, far)
+            with self.lock:
+                self.pairs.append(pair)
+                seeds = self.rng.getrandbits(32), self.rng.getrandbits(32)
+            for source, sink, seed in ((near, far, seeds[0]), (far, near, seeds[1])):
+                threading.Thread(target=self._carry, args=(source, sink, pair, random.Random(seed)),
+                                 daemon=True).start()
+
+    def _carry(self, source, sink, pair, rng: random.Random) -> None:
+        weather, bad, free_at, arrives = self.weather, False, 0.0, 0.0
+        try:
+            while True:
+                chunk = source.recv(2_048)
+                now = time.monotonic()
+                bad = rng.random() >= weather.to_good if bad else rng.random() < weather.to_bad
+                at = max(now, free_at) + len(chunk) / weather.rate
+                if bad:
+                    self.stalls += 1
+                    at += rng.uniform(*weather.stall)
+                if weather.reset and rng.random() < weather.reset:
+                    self.resets += 1
+                    self._reset(pair)
+                    return
+                free_at = at
+                late = weather.delay + rng.uniform(0, weather.jitter)
+                arrives = max(arrives, at + late)  # one stream, in order
+                with self.lock:
+                    heapq.heappush(self.due, (arrives, next(self.order), sink, chunk))
+                    self.lock.notify()
+                if not chunk:
+                    return
+                # a sender is held back as a link's own buffer would: a second's worth at most
+                if free_at - now > 1.0:
+                    time.sleep(min(1.0, free_at - now - 1.0))
+        except OSError:
+            with self.lock:
+                heapq.heappush(self.due, (time.monotonic(), next(self.order), sink, b""))
+                self.lock.notify()
+
+    def _deliver(self) -> None:
+        while True:
+            with self.lock:
+                while not self.over:
+                    now = time.monotonic()
+                    ready = max(self.due[0][0], self.stalled_until) if self.due else None
+                    if ready is not None and ready <= now:
+                        break
+                    self.lock.wait(None if ready is None else ready - now)
+                if self.over:
+                    return
+                _, _, sink, chunk = heapq.heappop(self.due)
+            try:
+                if chunk:
+                    self.bytes += len(chunk)
+                    sink.sendall(chunk)
+                else:
+                    sink.shutdown(socket.SHUT_WR)
+            except OSError:
+                pass
--- a/tests/bgp/test_app_server_announces.py
+++ b/tests/bgp/test_app_server_announces.py
@@ -182,7 +182,8 @@
     assert "--file deploy/lilacwalk.conf" in deploy["run"]
     code = ("import sys\nfrom lilacwalk.commands import serving\n"
             "assert serving.own_orders('deploy/lilacwalk.conf')() is None\n"
-            "heavy = [name for name in sys.modules if name.startswith(('lilacwalk.bgp', 'msgspec'))]\n"
+            "off = ('lilacwalk.bgp', 'lilacwalk.edge', 'msgspec', 'cbor2')\n"
+            "heavy = [name for name in sys.modules if name.startswith(off)]\n"
             "assert not heavy, heavy\n")
     subprocess.run([sys.executable, "-c", code], check=True, cwd=ROOT)
 
@@ -191,5 +192,7 @@
     from lilacwalk.operator.reading import orders_of
     lines = (ROOT / "deploy/lilacwalk.conf").read_text().splitlines()
     start = lines.index("# announce {")
-    made = orders_of("\n".join(line.removeprefix("#") for line in lines[start:]), "example")
+    text = "\n".join(line.removeprefix("#") for line in lines[start:] if "Devices on poor" not in line)
+    made = orders_of(text, "example")
     assert made.announce.as_ == 65010 and made.announce.peer[0].max_prefixes == 1000
+    assert made.edge.window == 16 and made.edge.tls.mutual
--- a/tests/bgp/test_speaker.py
+++ b/tests/bgp/test_speaker.py
@@ -185,10 +185,10 @@
     rng, router = random.Random(7), make_router()
     made = beside(router, ready_for="2ms", suppress="900000", reuse="800000")
     for _ in range(200):
+        sessions = router.count("up")
         speaker = make_speaker(made)
         for state in rng.sample([Node.COLD, Node.WARMING, Node.STANDING_STILL, Node.SICK], 2):
             speaker.node(state)
-        sessions = router.count("up")
         router.wait(lambda least=sessions: router.count("up") > least, "a session")
         speaker.ask(lambda each: None)
         assert not router.held
