CoAP for devices that hold no connection, beside the device link

Need: some devices can afford datagrams only; they are to be served by the same decisions, without an effect twice over a link that loses and doubles, and without helping who spoofs an address.

--- a/lilacwalk/commands/device.py
+++ b/lilacwalk/commands/device.py
@@ -23,10 +23,11 @@
 @click.option("--wait", default=2000, show_default=True, help="milliseconds")
 @click.option("--customer", default="")
 @click.option("--key", default="", help="the mark of a deduplicated exchange")
+@click.option("--coap", is_flag=True, help="over CoAP instead of the device link")
 @click.option("--tls-authority", type=click.Path(exists=True), help="whose certificate the edge must show")
 @click.option("--server-name", help="the name in that certificate")
 def ask(address: str, group: str, body: str, token: str, wait: int, customer: str, key: str,
-        tls_authority: str | None, server_name: str | None) -> None:
+        coap: bool, tls_authority: str | None, server_name: str | None) -> None:
     """Ask one exchange of the edge at ADDRESS (host:port).
 
     Exit codes: 0 completed, 3 denied, 4 terminated, 5 no answer in time or refused.
@@ -41,8 +42,15 @@
         raise click.UsageError(f"expected {error}") from None
     tls = ssl.create_default_context(cafile=tls_authority) if tls_authority else None
     try:
-        found = ask_once(where, raw, group, body.encode(), wait, tls, server_name, customer=customer, key=key)
-    except (TimeoutError, OSError) as error:
+        if coap:
+            from lilacwalk.edge.client.coap import CoapDevice
+            made = CoapDevice(where, raw, time.monotonic_ns())
+            found = made.ask(group, body.encode(), wait, c=customer, k=key)
+            made.end()
+        else:
+            found = ask_once(where, raw, group, body.encode(), wait, tls, server_name, customer=customer,
+                             key=key)
+    except (TimeoutError, OSError, ValueError) as error:
         print(f"lilacwalk: {error}", file=sys.stderr)
         sys.exit(5)
     text = found.body.decode("utf-8", "replace")
--- /dev/null
+++ b/lilacwalk/edge/client/coap.py
@@ -0,0 +1,147 @@
+"""A CoAP client for the edge: one exchange at a time over one socket, with retransmission, the echo that
+proves its address, and bodies in pieces both ways."""
+
+from __future__ import annotations
+
+import random
+import socket
+import time
+
+from lilacwalk.edge.client.machine import Outcome
+from lilacwalk.edge.coap import messages
+from lilacwalk.edge.coap.blocks import Block
+from lilacwalk.edge.coap.messages import Message, MessageError, Option, Type, uint
+
+TIMEOUT, RANDOM, MOST = 2.0, 1.5, 4  # RFC 7252 section 4.8, in seconds
+BLOCK = 1_024
+RESTARTS = 3  # of a body in pieces of which one got lost on the other side
+
+
+class CoapDevice:
+    def __init__(self, address: tuple[str, int], token: bytes, seed: int = 0) -> None:
+        self.address, self.token, self.rng = address, token, random.Random(seed)
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        self.sock = socket.socket(family, socket.SOCK_DGRAM)
+        self.sock.connect(address)
+        self.mid = self.rng.getrandbits(16)
+        self.echo = b""
+        self.sent = 0  # datagrams, with those sent again
+        self.answered: dict[int, int] = {}  # our acknowledgements of separate answers, by their message id
+
+    def end(self) -> None:
+        self.sock.close()
+
+    def ask(
+        self,
+        group: str,
+        body: bytes = b"",
+        wait: int = 2_000,
+        confirm: bool = True,
+        no_response: int = 0,
+        **stated: str,
+    ) -> Outcome | None:
+        """`stated`: k, s, c as the page has them. None where no answer was wanted. Raises TimeoutError, or
+        ValueError with what the edge found wrong."""
+        until = time.monotonic() + wait / 1000
+        queries = [f"w={wait}", *(f"{name}={value}" for name, value in stated.items() if value)]
+        fixed = [(Option.URI_PATH, b"x"), (Option.URI_PATH, group.encode()), (Option.DEVICE, self.token)]
+        fixed += [(Option.URI_QUERY, each.encode()) for each in queries]
+        if no_response:
+            fixed.append((Option.NO_RESPONSE, uint(no_response)))
+        if len(body) > BLOCK:
+            fixed.append((Option.REQUEST_TAG, self.rng.randbytes(4)))
+        for _ in range(RESTARTS):
+            reply = self._pieces(fixed, body, confirm, until, bool(no_response))
+            if reply is None or reply.code != messages.INCOMPLETE:
+                break
+        if reply is None:
+            return None
+        found = reply.payload
+        second = reply.first(Option.BLOCK2)
+        block = Block.of(second) if second else None
+        while block is not None and block.more:
+            block = Block(block.number + 1, False, block.size)
+            reply_2 = self._round([*fixed, (Option.BLOCK2, block.encoded())], b"", confirm, until, False)
+            found += reply_2.payload
+            raw = reply_2.first(Option.BLOCK2)
+            if raw is None:
+                raise ValueError("an answer that ends in its middle")
+            block = Block.of(raw)
+        return self._outcome(reply, found)
+
+    def _pieces(self, fixed: list, body: bytes, confirm: bool, until: float, silent: bool) -> Message | None:
+        if len(body) <= BLOCK:
+            return self._round(fixed, body, confirm, until, silent)
+        reply = None
+        for at in range(0, len(body), BLOCK):
+            last = at + BLOCK >= len(body)
+            block = Block(at // BLOCK, not last, BLOCK)
+            options = [*fixed, (Option.BLOCK1, block.encoded())]
+            reply = self._round(options, body[at : at + BLOCK], confirm, until, silent and last)
+            if reply is None or reply.code != messages.CONTINUE:
+                return reply
+        return reply
+
+    @staticmethod
+    def _outcome(reply: Message, body: bytes) -> Outcome:
+        come_back = reply.number(Option.MAX_AGE, 0) * 1000
+        if reply.code in (messages.CHANGED, messages.CONTENT):
+            return Outcome(0, body, 0)
+        if reply.code in (messages.TOO_MANY, messages.UNAVAILABLE):
+            return Outcome(1, b"", come_back)
+        if reply.code >> 5 == 5:
+            return Outcome(2, b"", 0)
+        raise ValueError(f"{reply.code >> 5}.{reply.code & 31:02d} {body.decode('utf-8', 'replace')}")
+
+    def _round(
+        self, options: list, payload: bytes, confirm: bool, until: float, silent: bool
+    ) -> Message | None:
+        """One request to its answer, once more with the echo where that is asked for."""
+        for _ in range(2):
+            echo = [(Option.ECHO, self.echo)] if self.echo else []
+            reply = self._once([*options, *echo], payload, confirm, until, silent and bool(self.echo))
+            if reply is None or reply.code != messages.UNAUTHORIZED or reply.first(Option.ECHO) is None:
+                return reply
+            self.echo = reply.first(Option.ECHO) or b""
+        raise ValueError("the edge does not take its own mark back")
+
+    def _once(
+        self, options: list, payload: bytes, confirm: bool, until: float, silent: bool
+    ) -> Message | None:
+        self.mid = self.mid + 1 & 0xFFFF
+        token = self.rng.randbytes(4)
+        kind = Type.CON if confirm else Type.NON
+        data = messages.encode(Message(kind, messages.POST, self.mid, token, tuple(options), payload))
+        wait, acknowledged = TIMEOUT * self.rng.uniform(1.0, RANDOM), False
+        for _ in range(MOST + 1):
+            if not acknowledged:
+                self.sock.send(data)
+                self.sent += 1
+                if silent and not confirm:
+                    return None
+            again = min(until, time.monotonic() + wait)
+            while (left := again - time.monotonic()) > 0:
+                message = self._receive(left)
+                if message is None:
+                    continue
+                if message.type is Type.CON and message.is_response:  # also one of an exchange given up
+                    self.sock.send(messages.encode(Message(Type.ACK, messages.EMPTY, message.mid)))
+                if message.type is Type.RST and message.mid == self.mid:
+                    raise ValueError("rejected")
+                if message.is_response and message.token == token:
+                    return message
+                if message.type is Type.ACK and message.mid == self.mid:
+                    acknowledged = True
+                    if silent:
+                        return None
+            if time.monotonic() >= until:
+                break
+            wait *= 2
+        raise TimeoutError("no answer in time")
+
+    def _receive(self, left: float) -> Message | None:
+        self.sock.settimeout(left)
+        try:
+            return messages.decode(self.sock.recv(65_536))
+        except (TimeoutError, MessageError, ConnectionRefusedError):
+            return None
--- a/lilacwalk/edge/host.py
+++ b/lilacwalk/edge/host.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 from queue import Empty, SimpleQueue
 
+from lilacwalk.edge.coap.serving import CoapServing, Request
 from lilacwalk.edge.frames import FrameError, Stream
 from lilacwalk.edge.serving import Action, Do, Group, Serving
 from lilacwalk.edge.session import Session
@@ -27,6 +28,7 @@
 FRAME = 512  # bytes that a frame may have beside its body
 MOST_FRAME = 65_536  # an answer as the client reads it: results are 4 KiB at most, with room
 READ = 16_384  # bytes taken from a socket at once
+DATAGRAMS = 256  # taken in one turn: some 10 ms of work
 ACCEPTS = 64  # connections taken in one turn: a flood leaves the others theirs
 BACKLOG = 1_024
 
@@ -108,12 +110,22 @@
         self.over = threading.Event()
         self.ending = False
         self.listener = self._listen()
+        self.coap = self.datagrams = None
+        if orders.coap is not None:
+            try:
+                self.datagrams = self._bind(orders.coap)
+            except OSError:
+                self.listener.close()
+                raise
+            self.coap = CoapServing(orders, groups, tokens, seed, clock())
         self.wake_out, self.wake_in = socket.socketpair()
         for sock in (self.wake_out, self.wake_in, self.listener):
             sock.setblocking(False)
         self.selector = selectors.DefaultSelector()
         self.selector.register(self.listener, selectors.EVENT_READ, self._accept)
         self.selector.register(self.wake_out, selectors.EVENT_READ, self._woken)
+        if self.datagrams is not None:
+            self.selector.register(self.datagrams, selectors.EVENT_READ, self._received)
         self.thread = threading.Thread(target=self._run, name="edge", daemon=True)
 
     def _node_mark(self, seed: int) -> bytes:
@@ -132,6 +144,17 @@
             raise
         return sock
 
+    @staticmethod
+    def _bind(address: tuple[str, int]) -> socket.socket:
+        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            sock.bind(address)
+        except OSError:
+            sock.close()
+            raise
+        sock.setblocking(False)
+        return sock
+
     @property
     def address(self) -> tuple[str, int]:
         return self.listener.getsockname()[:2]
@@ -151,7 +174,11 @@
     def answered(self, session: Session, number: int, word: int, body: bytes, come_back: int) -> None:
         self.put(self._answered, session, number, word, body, come_back)
 
-    def _answered(self, session: Session, number: int, word: int, body: bytes, come_back: int) -> None:
+    def _answered(self, session: Session | Request, number: int, word: int, body: bytes,
+                  come_back: int) -> None:
+        if isinstance(session, Request):
+            self.coap.answered(session, word, body, come_back, self.clock())
+            return
         self.serving.answered(session, number, word, body, come_back, self.clock())
 
     def end(self, patience: float = 2.0) -> None:
@@ -171,8 +198,24 @@
 
     def _reload(self, orders: Edge, made: ssl.SSLContext | None, secrets: list[bytes]) -> None:
         self.context = made
-        self.serving.tokens.secrets = secrets
+        self.serving.tokens.secrets = secrets  # the one object that both protocols check by
         self.serving.orders = self.orders = orders
+        if self.coap is not None:
+            self.coap.orders = orders
+
+    def leave(self, come_back: int) -> None:
+        self.serving.leave(come_back)
+        if self.coap is not None:
+            self.coap.leave(come_back)
+
+    def shut(self) -> None:
+        self.serving.close_all()
+        if self.coap is not None:
+            self.coap.shut = True
+
+    @property
+    def idle(self) -> bool:
+        return self.serving.shut and self.serving.idle and (self.coap is None or self.coap.idle)
 
     # Its thread
 
@@ -187,12 +230,14 @@
             for wire in list(self.wires.values()):
                 hang_up(wire.sock)
                 wire.sock.close()
-            for sock in (self.listener, self.wake_out, self.wake_in):
-                sock.close()
+            for sock in (self.listener, self.wake_out, self.wake_in, self.datagrams):
+                if sock is not None:
+                    sock.close()
             self.selector.close()
 
     def _one_pass(self) -> None:
-        wait = max(0, self.serving.due() - self.clock()) / SECOND
+        due = self.serving.due() if self.coap is None else min(self.serving.due(), self.coap.due())
+        wait = max(0, due - self.clock()) / SECOND
         for key, events in self.selector.select(min(wait, 1.0)):
             if isinstance(key.data, Wire):
                 self._ready(key.data, events)
@@ -205,6 +250,8 @@
         except Empty:
             pass
         self.serving.tick(self.clock())
+        if self.coap is not None:
+            self.coap.tick(self.clock())
         if self.serving.shut:
             self.serving.close_idle()
         self._carry_out()
@@ -215,6 +262,16 @@
         except BlockingIOError:
             pass
 
+    def _received(self) -> None:
+        for _ in range(DATAGRAMS):
+            try:
+                data, address = self.datagrams.recvfrom(READ)
+            except BlockingIOError:
+                return
+            except OSError:
+                continue  # an earlier answer that found nobody there
+            self.coap.datagram(address, data, self.clock())
+
     def _accept(self) -> None:
         for _ in range(ACCEPTS):
             try:
@@ -332,7 +389,7 @@
         self.serving.closed(wire.number, self.clock())
 
     def _carry_out(self) -> None:
-        while actions := self.serving.taken():
+        while actions := self.serving.taken() + (self.coap.taken() if self.coap is not None else []):
             written: dict[Wire, None] = {}
             for action in actions:
                 self._do(action, written)
@@ -350,6 +407,12 @@
             self.on_gone(action.session, action.number)
         elif action.do is Do.LOG:
             log.info(action.about)
+        elif action.do is Do.DATAGRAM:
+            address, data = action.about
+            try:
+                self.datagrams.sendto(data, address)
+            except OSError:
+                pass  # lost, as any datagram may be
         elif (wire := self.wires.get(action.connection)) is not None:
             if action.do is Do.SEND:
                 wire.queue.append(action.about)
--- a/lilacwalk/edge/serving.py
+++ b/lilacwalk/edge/serving.py
@@ -39,6 +39,7 @@
 
 class Do(Enum):
     SEND = auto()  # bytes on a connection
+    DATAGRAM = auto()  # an address and bytes
     CLOSE = auto()  # after what was sent
     ASK = auto()  # an exchange for the controller
     GONE = auto()  # nobody waits for it any more
--- a/lilacwalk/edge/terms.py
+++ b/lilacwalk/edge/terms.py
@@ -34,6 +34,7 @@
 
     ARGUMENTS: ClassVar = ()
     listen: Annotated[tuple[str, int], unit("endpoint")]
+    coap: Annotated[tuple[str, int], unit("endpoint")] | None = None  # over UDP
     secrets: str  # a file: one secret a line in hexadecimal digits, the first makes tokens, all check them
     tls: Tls | None = None
     customer: str = ""  # of devices that name none
--- a/lilacwalk/fronts/devices.py
+++ b/lilacwalk/fronts/devices.py
@@ -19,6 +19,7 @@
 
 log = logging.getLogger(__name__)
 WORDS = {Final.COMPLETED: COMPLETED, Final.DENIED: DENIED, Final.TERMINATED: TERMINATED}
+COME_BACK = 10_000  # a second: the others of the fleet are there now
 HOLD_KB = 8.0  # booked for an exchange whose device states nothing
 CALLER = 1 << 52  # devices' caller numbers lie above all that routers use
 
@@ -96,14 +97,14 @@
         pass
 
     def leave(self, now: int) -> None:
-        self.edge.put(lambda: self.edge.serving.leave(self.orders.session_time // 600))
+        self.edge.put(self.edge.leave, COME_BACK)
 
     def shut(self) -> None:
         self.shutting = True
-        self.edge.put(self.edge.serving.close_all)
+        self.edge.put(self.edge.shut)
 
     def done(self) -> bool:
-        return self.edge.over.is_set() or self.shutting and self.edge.serving.shut and self.edge.serving.idle
+        return self.edge.over.is_set() or self.shutting and self.edge.idle
 
     def flushed(self) -> bool:
         return self.edge.over.is_set() or not any(wire.queue for wire in list(self.edge.wires.values()))
--- a/lilacwalk/standins/proxy.py
+++ b/lilacwalk/standins/proxy.py
@@ -138,3 +138,80 @@
                     sink.shutdown(socket.SHUT_WR)
             except OSError:
                 pass
+
+
+class UdpProxy:
+    """The same for datagrams: loss in bursts, doubling, reordering."""
+
+    def __init__(self, to: tuple[str, int], weather: Weather, seed: int, loss: float = 0.5,
+                 double: float = 0.02) -> None:
+        """`loss`: of a datagram in the bad state."""
+        self.to, self.weather, self.loss, self.double = to, weather, loss, double
+        self.rng = random.Random(seed)
+        self.near = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.near.bind(("127.0.0.1", 0))
+        self.address = self.near.getsockname()
+        self.far: dict[tuple, socket.socket] = {}
+        self.bad = self.over = False
+        self.lost = self.doubled = 0
+        self.order, self.due = count(), []
+        self.lock = threading.Condition()
+        for target in (self._upward, self._deliver):
+            threading.Thread(target=target, daemon=True).start()
+
+    def end(self) -> None:
+        with self.lock:
+            self.over = True
+            self.lock.notify_all()
+        for sock in [self.near, *self.far.values()]:
+            sock.close()
+
+    def _upward(self) -> None:
+        while not self.over:
+            try:
+                data, address = self.near.recvfrom(65_536)
+            except OSError:
+                if self.over:
+                    return
+                continue
+            sock = self.far.get(address)
+            if sock is None:
+                sock = self.far[address] = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+                sock.connect(self.to)
+                threading.Thread(target=self._downward, args=(sock, address), daemon=True).start()
+            self._carry(sock, None, data)
+
+    def _downward(self, sock: socket.socket, address: tuple) -> None:
+        while not self.over:
+            try:
+                data = sock.recv(65_536)
+            except OSError:
+                if self.over:
+                    return
+                continue
+            self._carry(self.near, address, data)
+
+    def _carry(self, sock: socket.socket, address: tuple | None, data: bytes) -> None:
+        with self.lock:
+            rng, weather = self.rng, self.weather
+            self.bad = rng.random() >= weather.to_good if self.bad else rng.random() < weather.to_bad
+            copies = 0 if self.bad and rng.random() < self.loss else 1 + (rng.random() < self.double)
+            self.lost += not copies
+            self.doubled += copies == 2
+            for _ in range(copies):
+                at = time.monotonic() + weather.delay + rng.uniform(0, weather.jitter)
+                heapq.heappush(self.due, (at, next(self.order), sock, address, data))
+            self.lock.notify()
+
+    def _deliver(self) -> None:
+        while True:
+            with self.lock:
+                while not self.over and (not self.due or self.due[0][0] > time.monotonic()):
+                    self.lock.wait(self.due[0][0] - time.monotonic() if self.due else None)
+                if self.over:
+                    return
+                _, _, sock, address, data = heapq.heappop(self.due)
+            try:
+                sock.sendto(data, address) if address is not None else sock.send(data)
+            except OSError:
+                pass
