A device that acknowledges nothing is denied once its part of what is kept is full

Cause: kept-each stood in the operator's file and nothing held to it: one device could fill what all sessions may keep. Change: beyond it, and while all of it is full, an ask is denied with a time to come back; it never ran. Measured: with 3,000 bytes for each, 3 of 10 unread answers are made and another device is served.

--- a/lilacwalk/edge/serving.py
+++ b/lilacwalk/edge/serving.py
@@ -267,7 +267,8 @@
         self.counts["asked"] += 1
         group = self.groups.get(ask.group)
         effect = group.effect if group is not None else Effect.REPEATABLE
-        if taken is Taken.TOO_MANY:
+        if taken is Taken.TOO_MANY or session.size >= self.orders.kept_each or self.sessions.full:
+            # beyond its window, or what it has not acknowledged fills its part or all there is
             session.asked = max(session.asked, ask.number)
             self._answer_now(session, ask.number, effect, DENIED, now, SECOND)
             return
--- a/tests/edge/test_machines.py
+++ b/tests/edge/test_machines.py
@@ -351,6 +351,22 @@
     assert b"d0" in {each.device for each in world.serving.sessions}
 
 
+def test_a_device_that_acknowledges_nothing_is_denied_once_its_part_is_full_and_others_are_not():
+    world = World(kept_each=3_000, window=64)
+    idle, good = world.hello(window=1, name=b"a"), world.hello(name=b"b")
+    for number in range(1, 11):
+        world.say(idle, ask(number, body=b"%d" % number))
+        if len(world.asks) == number:
+            world.answer(body=b"r" * 900)
+    assert len(world.asks) == 3 and world.serving.sessions.size < 6_000
+    world.say(good, ask(1, body=b"other"))
+    assert len(world.asks) == 4
+    for order in range(1, 11):
+        world.say(idle, Got(order))
+    world.say(idle, ask(11, body=b"again"))
+    assert len(world.asks) == 5
+
+
 def test_a_session_without_a_connection_is_forgotten_after_its_time_and_its_exchange_given_up(world):
     number = world.hello()
     world.say(number, ask(1)).lose(number)
