BGP: one count of a path's length, and names that nothing used are gone

Need: the count stood twice in attributes.py; four names were left over from drafts. Behaviour is as it was. Measured: the tests of the speaker, of CoAP and of the edge's machines pass unchanged.

--- a/lilacwalk/bgp/attributes.py
+++ b/lilacwalk/bgp/attributes.py
@@ -81,8 +81,7 @@
     @property
     def path_length(self) -> int:
         """RFC 4271 section 9.1.2.2: a set counts one; confederations do not count (RFC 5065)."""
-        return sum(1 if kind == SET else len(numbers) for kind, numbers in self.as_path
-                   if kind in (SET, SEQUENCE))
+        return length(self.as_path)
 
     @property
     def first_as(self) -> int | None:
@@ -90,11 +89,6 @@
             return numbers[0] if kind == SEQUENCE and numbers else None
         return None
 
-    @property
-    def origin_as(self) -> int | None:
-        kind, numbers = self.as_path[-1] if self.as_path else (0, ())
-        return numbers[-1] if kind == SEQUENCE and numbers else None
-
     def in_path(self, number: int) -> bool:
         return any(number in numbers for _, numbers in self.as_path)
 
--- a/lilacwalk/bgp/session.py
+++ b/lilacwalk/bgp/session.py
@@ -121,7 +121,6 @@
 
 
 E, S = Event, State
-EVERY = set(Event)
 Row = tuple[tuple[str, ...], State | None]  # steps in order, and the next state; None: a step decides
 
 STAY: Row = ((), None)
--- a/lilacwalk/bgp/speaker.py
+++ b/lilacwalk/bgp/speaker.py
@@ -53,7 +53,6 @@
         for _ in range(host.bounds.batches_ahead):
             self.ahead.put(None)
         self.closing = threading.Event()
-        self.unflushed = False
 
     def start(self) -> None:
         threading.Thread(target=self._run, name="bgp-reader", daemon=True).start()
--- a/lilacwalk/edge/coap/blocks.py
+++ b/lilacwalk/edge/coap/blocks.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass
 
 MOST_SIZE = 6  # 2^(6+4): 1,024 bytes, the largest block there is
-LEAST_SIZE = 16
 
 
 class BlockError(Exception):
