The neutral records of an exchange lie below fronts, wire and memory; no circle of types

Cause: fronts/seam.py and memory/hand.py named each other's types, and wire/routers.py named the seam above it; the layers' contract did not see it, since imports for type hints were left out of it.

Change: Asked, Final, Reply, Caller, Front and InHand are in memory/records.py; the seam keeps the host.

--- a/lilacwalk/fronts/devices.py
+++ b/lilacwalk/fronts/devices.py
@@ -15,7 +15,8 @@
 from lilacwalk.edge.serving import Asking, Group
 from lilacwalk.edge.session import Session
 from lilacwalk.edge.terms import Edge
-from lilacwalk.fronts.seam import Asked, Final, Host, Reply
+from lilacwalk.fronts.seam import Host
+from lilacwalk.memory.records import Asked, Final, Reply
 
 log = logging.getLogger(__name__)
 WORDS = {Final.COMPLETED: COMPLETED, Final.DENIED: DENIED, Final.TERMINATED: TERMINATED}
--- a/lilacwalk/fronts/resp2.py
+++ b/lilacwalk/fronts/resp2.py
@@ -4,7 +4,8 @@
 
 import logging
 
-from lilacwalk.fronts.seam import Asked, Final, Host, Reply
+from lilacwalk.fronts.seam import Host
+from lilacwalk.memory.records import Asked, Final, Reply
 from lilacwalk.wire import routers
 from lilacwalk.wire.routers import Connection, Door
 
--- a/lilacwalk/fronts/seam.py
+++ b/lilacwalk/fronts/seam.py
@@ -1,73 +1,11 @@
-"""What a front and the deciding thread say to each other. Nothing here knows a protocol."""
+"""The deciding thread as a front knows it. What both speak of lies in `memory/records.py`."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from enum import auto, Enum
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
-if TYPE_CHECKING:
-    from lilacwalk.limits import Limits
-    from lilacwalk.memory.hand import InHand
-
-
-@dataclass(slots=True)
-class Asked:
-    """One exchange as its caller states it, in tenths of a ms of the Unix clock."""
-
-    id: str
-    group: str
-    customer: str
-    caller: int
-    arrived: int
-    wait: int | None  # None: not told
-    work_hint: int
-    hold_kb: float
-    retry: bool
-    subject: str
-    key: str
-    body: memoryview | bytes
-
-
-class Final(Enum):
-    COMPLETED = auto()
-    DENIED = auto()  # this try never ran
-    TERMINATED = auto()
-
-
-@dataclass(slots=True)
-class Reply:
-    """The one final answer to an exchange."""
-
-    final: Final
-    body: bytes | memoryview = b""
-    come_back: int = 0  # 0: not said
-    not_elsewhere: bool = False
-
-
-class Caller(Protocol):
-    """Whoever waits for answers: a router's connection, a device's session."""
-
-    open: dict[int, InHand]  # exchanges in hand by the caller's own tag
-    peer: str  # for logs
-    front: Front
-
-
-class Front(Protocol):
-    """One protocol's side of the deciding thread. All is called there; `answered` and `bad` in the pass that
-    decided, `tick` each time the deciding thread looks around."""
-
-    name: str
-    most: int  # exchanges in hand that this front may have: one front's flood leaves the others their room
-    in_hand: int
-
-    def answered(self, caller: Caller, tag: int, reply: Reply) -> None: ...
-    def bad(self, caller: Caller, tag: int, reason: str) -> None: ...
-    def tick(self, now: int, stood_still: bool) -> None: ...
-    def leave(self, now: int) -> None: ...  # a drain has begun: what comes is still taken
-    def shut(self) -> None: ...  # the door closes: callers are asked to go
-    def done(self) -> bool: ...  # nobody is left
-    def flushed(self) -> bool: ...  # all that was answered has left
+from lilacwalk.limits import Limits
+from lilacwalk.memory.records import Asked, Caller, InHand
 
 
 class Host(Protocol):
--- a/lilacwalk/lifecycle/answering.py
+++ b/lilacwalk/lifecycle/answering.py
@@ -8,10 +8,10 @@
 
 from lilacwalk.decisions.controller import Controller
 from lilacwalk.decisions.interface import Effect, Ending, Exchange
-from lilacwalk.fronts.seam import Final, Reply
 from lilacwalk.limits import Limits
-from lilacwalk.memory.hand import Hand, InHand
+from lilacwalk.memory.hand import Hand
 from lilacwalk.memory.kept import Kept
+from lilacwalk.memory.records import Final, InHand, Reply
 from lilacwalk.wire import kernel
 from lilacwalk.wire.index import Call, Index
 from lilacwalk.wire.outbox import hang_up, Outbox
--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -13,13 +13,13 @@
 from lilacwalk.decisions.controller import Controller
 from lilacwalk.decisions.interface import AppServer, Effect, Ending, Exchange
 from lilacwalk.fronts.resp2 import Resp2
-from lilacwalk.fronts.seam import Asked, Caller, Final, Front, Reply
 from lilacwalk.lifecycle.answering import Answering
 from lilacwalk.lifecycle.clock import Clock
 from lilacwalk.lifecycle.handed import addresses, CannotUseError, read
 from lilacwalk.limits import Limits, SECOND
-from lilacwalk.memory.hand import Hand, InHand
+from lilacwalk.memory.hand import Hand
 from lilacwalk.memory.kept import Kept
+from lilacwalk.memory.records import Asked, Caller, Final, Front, InHand, Reply
 from lilacwalk.wire import kernel
 from lilacwalk.wire.catalog import Catalog
 from lilacwalk.wire.index import Call, Index, Line
--- a/lilacwalk/memory/hand.py
+++ b/lilacwalk/memory/hand.py
@@ -2,34 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
-
 from lilacwalk.decisions.interface import Exchange
-
-if TYPE_CHECKING:
-    from lilacwalk.fronts.seam import Caller
-    from lilacwalk.wire.index import Call
-
-
-@dataclass(eq=False, slots=True)
-class InHand:
-    """What the sockets need to know of one exchange, until it is answered and its run over."""
-
-    ex: Exchange
-    id: str
-    tag: int
-    caller: Caller | None  # None: answered, or it is gone
-    group: str  # as the wire names it
-    body: bytes
-    kept_as: tuple | None = None  # its name in the table of keys and results
-    unsure: list[bytes] = field(default_factory=list)  # commands that no notice has confirmed yet
-    sent_again: bool = False  # some of them, after a link was lost: the kernel may know them already
-    call_body: bytes = b""
-    call_notice: int = 0
-    call: Call | None = None
-    call_since: int = 0
-    waits_for: Exchange | None = None  # joined: the one whose result answers it
+from lilacwalk.memory.records import Caller, InHand
 
 
 class Hand:
--- a/lilacwalk/wire/routers.py
+++ b/lilacwalk/wire/routers.py
@@ -9,10 +9,10 @@
 from collections.abc import Callable
 from queue import SimpleQueue
 
-from lilacwalk.fronts.seam import Asked
 from lilacwalk.handover import early, late
 from lilacwalk.limits import Limits
 from lilacwalk.log import Tally
+from lilacwalk.memory.records import Asked
 from lilacwalk.wire.outbox import hang_up, Outbox
 from lilacwalk.wire.resp import encode, FrameError, Parser
 
