A view of the fleet: SWIM with Lifeguard as machines, its host, commands and a rig

Need: no app server knew of another, and the plan for the loss of a site needs ground to stand on.

Change: lilacwalk/membership (codec, table of claims, probing, suspicion, spreading, own life and twins, conclusions, the floor under withdrawals, what is kept), its host on one UDP socket, the fleet block, fleet show|watch|events|ping|run, the floor in bgp/announcing, the same machines in simulated time (emulator/datagrams) and a rig of real processes behind a switch (standins/fleet, switch). Off without a fleet block. The asking socket is one for all subsystems (wire/asking).

--- a/lilacwalk/bgp/announcing.py
+++ b/lilacwalk/bgp/announcing.py
@@ -4,7 +4,8 @@
 cold, warming        never
 ready                normal, once ready for `ready-for` and no penalty holds it back
 sick, standing still as it was, then less wanted, then withdrawn, each after a time without becoming well;
-with a last resort, sick (never standing still) stays at that instead of withdrawn
+with a last resort, sick (never standing still) stays at that instead of withdrawn;
+where a view of the fleet is kept, less wanted at most, unless this node is among those that may go
 leaving              the graceful shutdown community, then withdrawn, then the door may close: never again
 gone                 withdrawn
 
@@ -61,6 +62,7 @@
         self.unwell_since: int | None = None  # until well again for long enough
         self.was_ready = False  # in this life: a node that never was is no resort, not even the last
         self.leaving_since: int | None = None
+        self.may_go = True  # for sickness: without a view of the fleet nothing speaks against it
         self.withdraw_at = 0
         self.changes = 0
 
@@ -110,6 +112,11 @@
         self.orders = orders
         self.penalty.take_over(orders.damping, now)
 
+    def floor(self, may_go: bool) -> None:
+        """What the view of the fleet says: whether too many would be gone with this one. Whoever has gone
+        stays so until it is well."""
+        self.may_go = may_go
+
     # What follows
 
     def decide(self, now: int) -> Decision:
@@ -169,6 +176,8 @@
         if now >= withdraw_at:
             if self.orders.last_resort is not None and self.was_ready and self.node is Node.SICK:
                 return Level.LAST_RESORT, f"{word}, the last resort", None
+            if not self.may_go:
+                return min(self.level, Level.LESS_WANTED), f"{word}, but not one of those that may go", None
             return Level.NONE, f"{word} for too long", None
         if now >= less_at:
             return min(self.level, Level.LESS_WANTED), f"{word}, less wanted", withdraw_at
--- a/lilacwalk/bgp/answering.py
+++ b/lilacwalk/bgp/answering.py
@@ -1,21 +1,11 @@
-"""Answers what an operator asks of the running speaker, over a Unix socket that only its owner can open: one
-line of words in, one line of JSON out, one connection at a time."""
+"""What an operator may ask of the running speaker."""
 
 from __future__ import annotations
 
-import json
-import logging
-import os
-import socket
-import threading
-
 from lilacwalk.bgp.prefixes import Prefix
 from lilacwalk.bgp.speaker import Speaker
 from lilacwalk.bgp.speaking import Speaking
-from lilacwalk.wire.outbox import hang_up
-
-log = logging.getLogger(__name__)
-QUESTION, PATIENCE = 512, 2.0  # bytes, and seconds that an asker may take: it is a person's tool
+from lilacwalk.wire.asking import Asking
 
 
 def answer(line: str, speaking: Speaking) -> object:
@@ -33,75 +23,6 @@
     return {"error": "ask: show, received PEER, route PREFIX"}
 
 
-class Answering:
-    def __init__(self, speaker: Speaker, path: str) -> None:
-        """Raises OSError. What a dead process left under the name is taken away; what answers there is
-        not."""
-        self.speaker, self.path = speaker, path
-        self.sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-        try:
-            if os.path.exists(path) and not self._answers(path):
-                os.unlink(path)
-            self.sock.bind(path)
-            os.chmod(path, 0o600)  # before it listens: nobody can have connected yet
-            self.sock.listen(1)
-        except OSError:
-            self.sock.close()
-            raise
-
-    @staticmethod
-    def _answers(path: str) -> bool:
-        with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as other:
-            other.settimeout(PATIENCE)
-            try:
-                other.connect(path)
-                return True
-            except ConnectionRefusedError:
-                return False
-
-    def start(self) -> None:
-        threading.Thread(target=self._run, name="bgp-answering", daemon=True).start()
-
-    def end(self) -> None:
-        hang_up(self.sock)
-        try:
-            os.unlink(self.path)
-        except OSError:
-            pass
-
-    def _run(self) -> None:
-        while True:
-            try:
-                sock, _ = self.sock.accept()
-            except OSError:
-                self.sock.close()
-                return
-            with sock:
-                try:
-                    sock.settimeout(PATIENCE)
-                    sock.sendall(json.dumps(self._answer(sock)).encode() + b"\n")
-                except OSError:
-                    pass
-                except Exception:
-                    log.exception("event=thread_failed thread=bgp-answering")
-
-    def _answer(self, sock: socket.socket) -> object:
-        line = b""
-        while b"\n" not in line and len(line) < QUESTION and (chunk := sock.recv(QUESTION)):
-            line += chunk
-        try:
-            return self.speaker.ask(lambda speaking: answer(line.decode("utf-8", "replace"), speaking))
-        except TimeoutError as error:
-            return {"error": str(error)}
-
-
-def ask(path: str, question: str) -> object:
+def answering(speaker: Speaker, path: str) -> Asking:
     """Raises OSError."""
-    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
-        sock.settimeout(2 * PATIENCE)
-        sock.connect(path)
-        sock.sendall(question.encode() + b"\n")
-        pieces = []
-        while chunk := sock.recv(65_536):
-            pieces.append(chunk)
-    return json.loads(b"".join(pieces))
+    return Asking(path, lambda line: speaker.ask(lambda speaking: answer(line, speaking)), "bgp-answering")
--- a/lilacwalk/bgp/speaker.py
+++ b/lilacwalk/bgp/speaker.py
@@ -14,7 +14,7 @@
 from queue import Empty, SimpleQueue
 
 from lilacwalk.bgp import messages
-from lilacwalk.bgp.announcing import Node
+from lilacwalk.bgp.announcing import Level, Node
 from lilacwalk.bgp.errors import BgpError, Cease, Code
 from lilacwalk.bgp.messages import Stream
 from lilacwalk.bgp.peering import Action, Do, notification_of
@@ -145,13 +145,15 @@
     then the door must stay open, in tenths of a ms."""
 
     def __init__(self, orders: Announce, seed: int, on_door: Callable[[int], None] = lambda wait: None,
-                 bounds: Bounds = Bounds(), clock: Callable[[], int] = time.monotonic_ns) -> None:
+                 bounds: Bounds = Bounds(), clock: Callable[[], int] = time.monotonic_ns,
+                 on_level: Callable[[Level], None] | None = None) -> None:
         self.orders, self.bounds, self.on_door, self.clock = orders, bounds, on_door, clock
         self.inbox: SimpleQueue[tuple] = SimpleQueue()
         self.links: dict[int, Link] = {}
         self.going: dict[Link, None] = {}  # closed by us, their readers not yet at an end
         self.unsent: dict[Link, None] = {}
         self.door_told = False
+        self.on_level, self.level = on_level, Level.NONE  # told in the speaker's thread when it changes
         self.over = threading.Event()
         self.speaking = Speaking(orders, seed, self.now())
         self.listener = listen(orders.listen, self.bounds.backlog) if orders.listen is not None else None
@@ -171,6 +173,10 @@
     def node(self, state: Node) -> None:
         self.inbox.put((self._node, state))
 
+    def floor(self, may_go: bool) -> None:
+        """What the view of the fleet says of a withdrawal for sickness."""
+        self.inbox.put((self._floor, may_go))
+
     def leave(self, door_in: int | None) -> None:
         """A drain; the door closes at the latest `door_in` tenths of a ms from now."""
         self.inbox.put((self._leave, door_in))
@@ -238,6 +244,10 @@
                 self._do(action)
         for link in list(self.unsent):
             link.outbox.flush()
+        level = self.speaking.decision.level
+        if self.on_level is not None and level is not self.level:
+            self.on_level(level)
+        self.level = level
         door_at = self.speaking.door_at
         if door_at is not None and not self.door_told and self.speaking.decision.level == 0:
             self.door_told = True
@@ -299,6 +309,9 @@
     def _node(self, state: Node) -> None:
         self.speaking.node(state, self.now())
 
+    def _floor(self, may_go: bool) -> None:
+        self.speaking.floor(may_go, self.now())
+
     def _leave(self, door_in: int | None) -> None:
         now = self.now()
         self.speaking.leave(now, None if door_in is None else now + door_in)
--- a/lilacwalk/bgp/speaking.py
+++ b/lilacwalk/bgp/speaking.py
@@ -57,6 +57,11 @@
         self.announcing.told(state, now)
         self._follow(now)
 
+    def floor(self, may_go: bool, now: int) -> None:
+        self._at(now)
+        self.announcing.floor(may_go)
+        self._follow(now)
+
     def leave(self, now: int, door_by: int | None) -> None:
         self._at(now)
         self.announcing.leave(now, door_by)
--- a/lilacwalk/commands/__init__.py
+++ b/lilacwalk/commands/__init__.py
@@ -7,7 +7,7 @@
 import click
 
 FOUND_IN = {"serve": "serving", "check": "serving", "announce": "announcing", "bgp": "bgp",
-            "device": "device", "version": "version"}
+            "device": "device", "fleet": "fleet", "version": "version"}
 
 
 class Commands(click.Group):
--- a/lilacwalk/commands/announcing.py
+++ b/lilacwalk/commands/announcing.py
@@ -43,14 +43,14 @@
 def run(own: str, asked) -> int:
     import os
 
-    from lilacwalk.bgp.answering import Answering
+    from lilacwalk.bgp.answering import answering as answering_at
     from lilacwalk.bgp.speaker import Speaker
     words: SimpleQueue[str | None] = SimpleQueue()
     answering = None
     try:
         speaker = Speaker(asked, int.from_bytes(os.urandom(8), "big"))
         if asked.socket is not None:
-            answering = Answering(speaker, asked.socket)
+            answering = answering_at(speaker, asked.socket)
     except OSError as error:
         print(f"lilacwalk: cannot listen: {error.strerror or error}", file=sys.stderr)
         return 2
--- a/lilacwalk/commands/bgp.py
+++ b/lilacwalk/commands/bgp.py
@@ -14,8 +14,8 @@
 
 def told(own: str, question: str) -> object:
     """The running program's answer. Ends the command with 2 where there is none."""
-    from lilacwalk.bgp.answering import ask
     from lilacwalk.operator.reading import CannotReadError, orders
+    from lilacwalk.wire.asking import ask
     try:
         made = orders(own)
         if made is None or made.announce is None or made.announce.socket is None:
--- a/lilacwalk/lifecycle/announcer.py
+++ b/lilacwalk/lifecycle/announcer.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from queue import SimpleQueue
 
-from lilacwalk.bgp.announcing import Node
-from lilacwalk.bgp.answering import Answering
+from lilacwalk.bgp.announcing import Level, Node, UNWELL
+from lilacwalk.bgp.answering import answering
 from lilacwalk.bgp.readiness import Facts, node
 from lilacwalk.bgp.speaker import Speaker
 from lilacwalk.bgp.terms import Announce
@@ -18,12 +18,14 @@
 
 
 class Announcer:
-    def __init__(self, orders: Announce, seed: int, inbox: SimpleQueue, now: Callable[[], int]) -> None:
-        """`now`: the deciding thread's clock. Raises OSError where it cannot listen."""
-        self.inbox, self.now = inbox, now
-        self.speaker = Speaker(orders, seed, self._door)
+    def __init__(self, orders: Announce, seed: int, inbox: SimpleQueue, now: Callable[[], int],
+                 on_out: Callable[[bool], None]) -> None:
+        """`now`: the deciding thread's clock; `on_out`: told in that thread whether this node is withdrawn
+        for sickness. Raises OSError where it cannot listen."""
+        self.inbox, self.now, self.on_out = inbox, now, on_out
+        self.speaker = Speaker(orders, seed, self._door, on_level=self._level)
         try:
-            self.answering = Answering(self.speaker, orders.socket) if orders.socket is not None else None
+            self.answering = answering(self.speaker, orders.socket) if orders.socket is not None else None
         except OSError:
             if self.speaker.listener is not None:
                 self.speaker.listener.close()
@@ -49,6 +51,16 @@
         self.told = Node.LEAVING
         self.speaker.leave(door_in)
 
+    def floor(self, may_go: bool) -> None:
+        self.speaker.floor(may_go)
+
+    def _level(self, level: Level) -> None:
+        """In the speaker's thread."""
+        self.inbox.put((self._levelled, level))
+
+    def _levelled(self, level: Level) -> None:
+        self.on_out(level is Level.NONE and self.told in UNWELL)
+
     def _door(self, wait: int) -> None:
         """In the speaker's thread: a fact for the deciding one."""
         self.inbox.put((self._withdrawn, wait))
--- a/lilacwalk/lifecycle/answering.py
+++ b/lilacwalk/lifecycle/answering.py
@@ -47,6 +47,7 @@
         self.value: float | None = None  # the free value; None: nothing is said
         self.close_idle_after = 0
         self.next_report = 0
+        self.fleet = None  # the view of the fleet, which is told what is completed and denied
 
     # What both the controller's decisions and the host's own handlers use
 
@@ -56,6 +57,8 @@
         caller = self.host.hand.settled(each)
         if caller is not None:
             caller.front.answered(caller, each.tag, Reply(final, body, come_back, not_elsewhere))
+            if self.fleet is not None:
+                self.fleet.count(each.group, final)
 
     def answer_joined(self, each: InHand, result: bytes | None) -> None:
         host = self.host
--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -32,6 +32,8 @@
     from lilacwalk.edge.terms import Edge
     from lilacwalk.fronts.devices import Devices
     from lilacwalk.lifecycle.announcer import Announcer
+    from lilacwalk.lifecycle.fleet import FleetPart
+    from lilacwalk.membership.terms import Fleet
 
 log = logging.getLogger(__name__)
 
@@ -41,6 +43,7 @@
 
     announce: Announce | None
     edge: Edge | None
+    fleet: Fleet | None
 
 
 class PartFailedError(Exception):
@@ -71,6 +74,8 @@
         self.stop_at = 0  # 0: no notice to leave yet
         self.devices: Devices | None = None  # likewise
         self.announcer: Announcer | None = None  # where the operator's own file asks for one
+        self.fleet: FleetPart | None = None  # likewise
+        self.may_go = True  # for sickness, as the view says; without one nothing speaks against it
         self.warm_at = 0  # when a cold start is over
         self.ended = False
         self.resp2 = Resp2(self, door, limits.in_hand)
@@ -100,9 +105,17 @@
         unsent, self.unsent = self.unsent, {}
         for outbox in unsent:
             outbox.flush()
+        if self.announcer is not None or self.fleet is not None:
+            self._tell_others()
+
+    def _tell_others(self) -> None:
+        facts = (self.controller is not None, self.warm_at, self.kernel_ready, self.out.healthy,
+                 bool(self.stop_at))
         if self.announcer is not None:
-            self.announcer.look((self.controller is not None, self.warm_at, self.kernel_ready,
-                                 self.out.healthy, bool(self.stop_at)), self.now)
+            self.announcer.look(facts, self.now)
+        if self.fleet is not None:
+            p_a = self.controller.p_a if self.controller is not None else 1.0
+            self.fleet.look(facts, self.now, p_a, self.gauges[0])
 
     def send(self, outbox: Outbox, data: bytes) -> bool:
         """Leaves at the end of this pass, with all else for the same socket."""
@@ -359,8 +372,43 @@
         """The operator's own file, at start and after a reload. Raises CannotUseError, and nothing has
         changed."""
         self._edge(orders.edge if orders is not None else None)
+        self._fleet(orders.fleet if orders is not None else None)
         self.announce(orders.announce if orders is not None else None)
 
+    def _fleet(self, orders: Fleet | None) -> None:
+        """What the operator's own file says of the view of the fleet."""
+        if orders is None:
+            if self.fleet is not None:
+                self.fleet.end(1.0)
+                self.fleet = self.out.fleet = None
+                self._floor(True, "")
+            return
+        from lilacwalk.membership.host import FleetError
+        try:
+            if self.fleet is not None:
+                self.fleet.host.reload(orders)
+            elif not self.stop_at:
+                from lilacwalk import __version__
+                from lilacwalk.lifecycle.fleet import FleetPart
+                self.may_go = False  # until the view says otherwise: a doubt is resolved towards serving
+                self.fleet = self.out.fleet = FleetPart(
+                    orders, self.catalog.name, self.server.cores, __version__,
+                    lambda may_go, word: self.inbox.put((self._floor, may_go, word)))
+                self.fleet.start()
+        except FleetError as error:
+            raise CannotUseError(str(error)) from None
+        except OSError as error:
+            raise CannotUseError(f"cannot keep a view of the fleet: {error.strerror or error}") from None
+
+    def _floor(self, may_go: bool, word: str) -> None:
+        self.may_go = may_go
+        if self.announcer is not None:
+            self.announcer.floor(may_go)
+
+    def _out(self, out: bool) -> None:
+        if self.fleet is not None:
+            self.fleet.host.tell(out=out)
+
     def _edge(self, orders: Edge | None) -> None:
         """Devices come and go with the program: a reload takes new certificates, secrets and bounds."""
         if orders is None:
@@ -401,9 +449,10 @@
         elif not self.stop_at:
             from lilacwalk.lifecycle.announcer import Announcer
             try:
-                self.announcer = Announcer(orders, self.server.seed, self.inbox, lambda: self.now)
+                self.announcer = Announcer(orders, self.server.seed, self.inbox, lambda: self.now, self._out)
             except OSError as error:
                 raise CannotUseError(f"cannot announce: {error.strerror or error}") from None
+            self.announcer.floor(self.may_go)
             self.announcer.start()
 
     # Leaving
@@ -413,7 +462,9 @@
         if self.stop_at:
             return
         self.stop_at = self.now + self.limits.stop
-        log.info("event=leaving in_hand=%d connections=%d", len(self.hand), len(self.resp2.connections))
+        with_it = f" leaving_with_it={self.fleet.leaving}" if self.fleet is not None else ""
+        log.info("event=leaving in_hand=%d connections=%d%s", len(self.hand), len(self.resp2.connections),
+                 with_it)
         if self.controller is not None:
             self.calls.append((self.controller.leave, self.stop_at - self.limits.flush))
         for front in self.fronts:
--- /dev/null
+++ b/lilacwalk/lifecycle/fleet.py
@@ -0,0 +1,77 @@
+"""The view of the fleet beside the deciding thread: told the node's state when it changes and its figures
+now and then, asked for nothing. Loaded only where the operator's file has a fleet block."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from collections.abc import Callable
+
+from lilacwalk.bgp.announcing import Node
+from lilacwalk.bgp.readiness import Facts, node
+from lilacwalk.membership.answering import answering
+from lilacwalk.membership.host import FleetHost
+from lilacwalk.membership.membership import Membership
+from lilacwalk.membership.messages import State
+from lilacwalk.membership.terms import Fleet
+from lilacwalk.memory.records import Final
+
+log = logging.getLogger(__name__)
+FIGURES = 10_000  # between two tellings of figures: what is passed on is bounded by the view itself
+REFUSES = 6  # endpoint groups told, those with most denials first
+MOST = (1 << 32) - 1
+
+
+class FleetPart:
+    def __init__(self, orders: Fleet, name: str, cores: int, revision: str,
+                 on_floor: Callable[[bool, str], None]) -> None:
+        """`on_floor`: in the view's thread, whether this node may withdraw for sickness, and what the view
+        concludes. Raises FleetError, OSError."""
+        self.on_floor, self.cores = on_floor, cores
+        self.host = FleetHost(orders, name, self._view, revision=revision)
+        try:
+            self.asking = answering(self.host, orders.socket) if orders.socket is not None else None
+        except OSError:
+            self.host._close()
+            raise
+        self.leaving = 0  # others that are, as far as is known
+        self.told: Node | None = None
+        self.figures_at = 0
+        self.completed = 0
+        self.denied: Counter[str] = Counter()
+
+    def start(self) -> None:
+        self.host.start()
+        if self.asking is not None:
+            self.asking.start()
+
+    def count(self, group: str, final: Final) -> None:
+        if final is Final.COMPLETED:
+            self.completed += 1
+        elif final is Final.DENIED:
+            self.denied[group] += 1
+
+    def look(self, facts: tuple, now: int, p_a: float, core_use: float) -> None:
+        """After a pass of the deciding thread."""
+        state = node(Facts(*facts), now)
+        if state is not self.told:
+            self.told = state
+            self.host.tell(State[state.name])
+        if now >= self.figures_at:
+            span, self.figures_at = max(1, now - self.figures_at + FIGURES), now + FIGURES
+            self.host.tell(cores=self.cores, finished=min(MOST, self.completed * FIGURES // span),
+                           load=max(0, min(1_000, round(core_use * 20) * 50)),
+                           p_a=max(0, min(1_000, round(p_a * 20) * 50)),
+                           refuses=tuple(name[:24] for name, _ in self.denied.most_common(REFUSES)))
+            self.completed = 0
+            self.denied.clear()
+
+    def _view(self, machine: Membership, now: int) -> None:
+        """In the view's thread."""
+        self.leaving = sum(each.name != machine.name for each in machine.view.leaving())
+        self.on_floor(machine.may_withdraw(now), machine.conclusion(now).word)
+
+    def end(self, patience: float) -> None:
+        self.host.leave(patience)
+        if self.asking is not None:
+            self.asking.end()
--- /dev/null
+++ b/lilacwalk/membership/concluding.py
@@ -0,0 +1,84 @@
+"""What one node may conclude from its view, with the figures, so that who uses the view can be careful.
+
+alone      hears nobody, though others should be there: it doubts itself first
+minority   hears fewer than half of those who should be there: likely the smaller side of a cut
+unsure     the view is not to be relied on at this moment; the reason says why
+whole      hears more than half, and nothing is in doubt
+
+Who should be there: all who are present, and all who were lost without leaving and are not yet forgotten.
+Exactly half is unsure: the other half believes the same.
+
+Losses are read, too: most of a site lost within a short while is a cut (or the site's power: from here the
+two look alike), not as many crashes; single ones are crashes."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+
+CUT_LEAST = 2  # members lost of one site: one alone is no pattern
+CUT_SHARE = 2 / 3  # of the site's members who were there
+CUT_WITHIN = 12  # probe intervals: the time in which one cause is noticed by all
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    present: int  # with this node
+    suspects: int
+    lost: int
+    left: int
+    silent_for: int  # probe intervals since anybody was heard
+    unheard: int  # our own probes that nobody answered, one after the other, though others are heard
+    young: bool  # has not yet met anybody, and seeds are there
+    stood_still: bool
+    yielded: bool
+    agreeing: bool  # those heard last hold the same view
+
+
+@dataclass(frozen=True, slots=True)
+class Conclusion:
+    word: str
+    reason: str
+
+
+SILENT = 4  # probe intervals without a word from anybody: with 30% loss, one in a thousand by chance
+UNHEARD = 6  # probes in a row unanswered while others are heard
+
+
+def conclude(told: Figures) -> Conclusion:
+    should = told.present + told.lost
+    counts = f"present {told.present} of {should}"
+    if told.yielded:
+        return Conclusion("unsure", "another process holds this name")
+    if told.young:
+        return Conclusion("alone", "nobody has answered yet")
+    if should > 1 and told.silent_for >= SILENT:
+        return Conclusion("alone", f"heard nobody for {told.silent_for} probe intervals")
+    if told.present == 1 and told.lost:
+        return Conclusion("alone", f"all {told.lost} others are lost")
+    if told.stood_still:
+        return Conclusion("unsure", "stood still, and has not caught up yet")
+    if told.unheard >= UNHEARD:
+        return Conclusion("unsure", f"hears others, but {told.unheard} probes in a row were not answered")
+    if 2 * told.present < should:
+        return Conclusion("minority", counts)
+    if 2 * told.present == should:
+        return Conclusion("unsure", f"{counts}: exactly half")
+    if told.suspects:
+        return Conclusion("unsure", f"{counts}, {told.suspects} suspected")
+    if not told.agreeing:
+        return Conclusion("unsure", f"{counts}, not all agree yet")
+    return Conclusion("whole", counts if not told.lost else f"{counts}, {told.lost} lost")
+
+
+def cuts(losses: list[tuple[str, int]], present: Counter[str], interval: int) -> dict[str, int]:
+    """The sites that look cut off, with how many were lost there. `losses`: (site, when) of those lost now;
+    `present`: members still there, by site."""
+    found = {}
+    for site, lost in Counter(site for site, _ in losses).items():
+        times = sorted(when for of, when in losses if of == site)
+        span = CUT_WITHIN * interval
+        most = max(sum(1 for when in times if start <= when <= start + span) for start in times)
+        if most >= CUT_LEAST and most >= CUT_SHARE * (lost + present[site]):
+            found[site] = most
+    return found
--- a/lilacwalk/operator/check.py
+++ b/lilacwalk/operator/check.py
@@ -18,6 +18,10 @@
         print("edge=off")
     else:
         code = edge(made.edge)
+    if made is None or made.fleet is None:
+        print("fleet=off")
+    else:
+        code = fleet(made.fleet) or code
     if made is None or made.announce is None:
         print("announce=off")
         return code
@@ -50,6 +54,21 @@
     return f"{found.not_valid_after_utc:%Y-%m-%dT%H:%M:%SZ}"
 
 
+def fleet(asked) -> int:
+    """Also the key's file: one that cannot be used is found here, not at a start."""
+    from lilacwalk.membership.host import FleetError, read_keys
+    host, port = asked.told_address
+    print(f"fleet name={asked.name or 'its own'} site={asked.site} advertise={host}:{port} "
+          f"seeds={len(asked.seed)} probe_interval_ms={asked.probe_interval / 10:g} "
+          f"store={asked.store or 'none'} withdraw_share={asked.withdraw_share:g}")
+    try:
+        print(f"keys={len(read_keys(asked.key))}")
+    except FleetError as error:
+        print(f"lilacwalk: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
 def edge(asked) -> int:
     """Also what the file names: secrets, certificates and keys that cannot be used are found here, not at a
     start."""
--- a/lilacwalk/operator/schema.py
+++ b/lilacwalk/operator/schema.py
@@ -13,8 +13,9 @@
 
 from lilacwalk.bgp.terms import Announce
 from lilacwalk.edge.terms import Edge
+from lilacwalk.membership.terms import Fleet
 from lilacwalk.operator.syntax import Fault, Statement
-from lilacwalk.operator.units import flag, UNITS, whole
+from lilacwalk.operator.units import flag, number, UNITS, whole
 
 
 class Orders(Struct, frozen=True, kw_only=True):
@@ -22,6 +23,7 @@
 
     announce: Announce | None = None
     edge: Edge | None = None
+    fleet: Fleet | None = None
 
 
 @dataclass(slots=True)
@@ -72,12 +74,15 @@
         shape.units.append("flag")
     elif kind is int:
         shape.units.append("whole")
+    elif kind is float:
+        shape.units.append("number")
 
 
 def value(shape: Shape, word: str) -> object:
     """Raises ValueError with what was expected."""
     unit = next((unit for unit in shape.units if unit in UNITS), "")
-    convert = UNITS.get(unit) or {"flag": flag, "whole": whole}.get(next(iter(shape.units), ""), str)
+    plain = {"flag": flag, "whole": whole, "number": number}
+    convert = UNITS.get(unit) or plain.get(next(iter(shape.units), ""), str)
     return convert(word)
 
 
--- a/lilacwalk/operator/units.py
+++ b/lilacwalk/operator/units.py
@@ -45,6 +45,13 @@
     return int(word)
 
 
+def number(word: str) -> float:
+    found = FIGURE.fullmatch(word)
+    if found is None or found[2]:
+        raise ValueError("a number, as 0.25")
+    return float(found[1])
+
+
 def address(word: str) -> str:
     try:
         return str(ipaddress.ip_address(word))
--- /dev/null
+++ b/lilacwalk/standins/fleet.py
@@ -0,0 +1,289 @@
+"""Real processes of the program as members of a fleet, a switch between them, and what each believes over
+time.
+
+Each member has a directory with its file, log and store. `kind` says what it is: `fleet run`, or a whole
+app server with a stand-in kernel. Faults: processes killed, stopped, continued, started cold; links cut one
+way or both, lossy, slow, doubling; disks filled (by a limit on file size set in the child), or made
+unreadable; clocks offset by the environment are not had without a library of the machine's own, so a clock
+is offset in the stored life instead."""
+
+from __future__ import annotations
+
+import json
+import resource
+import secrets
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import IO
+
+from lilacwalk.standins.kernel import Kernel
+from lilacwalk.standins.site import handed
+from lilacwalk.standins.switch import Faults, Switch
+from lilacwalk.wire.asking import ask
+
+ROOT = Path(__file__).parent.parent.parent
+LOOK = 0.05  # seconds between two looks at what all believe
+STARTING = 15.0  # seconds a process may take until it answers: a failure, never a wait
+
+
+@dataclass(eq=False, slots=True)
+class Process:
+    name: str
+    site: str
+    place: Path
+    real: tuple[str, int]
+    told: tuple[str, int]
+    seeds: tuple[str, ...]
+    popen: subprocess.Popen | None = None
+    stopped: bool = False
+    full: bool = False
+    kernel: Kernel | None = None
+    starts: int = 0
+    extra: str = ""  # further lines of its file
+    called: str = ""  # the name in its file, where it is another
+
+    @property
+    def running(self) -> bool:
+        return self.popen is not None and self.popen.poll() is None
+
+    @property
+    def socket(self) -> str:
+        return str(self.place / "s")
+
+    @property
+    def file(self) -> Path:
+        return self.place / "conf"
+
+
+@dataclass(frozen=True, slots=True)
+class Look:
+    at: float  # seconds since the rig began
+    name: str
+    shown: dict
+
+
+@dataclass(eq=False)
+class Rig:
+    """`interval_ms`: the probe interval. Ended by `end`, which leaves nothing behind but what `keep`
+    names."""
+
+    seed: int = 1
+    interval_ms: int = 200
+    kind: str = "run"
+    keep: str | None = None
+    store: bool = True
+    processes: dict[str, Process] = field(default_factory=dict)
+    looks: list[Look] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.place = Path(tempfile.mkdtemp(prefix="lw-"))  # short: a Unix socket's path has 107 bytes at most
+        self.key = self.place / "key"
+        self.write_keys(secrets.token_hex(32))
+        self.switch = Switch(self.seed)
+        self.began = time.monotonic()
+
+    # Members
+
+    def write_keys(self, *keys: str) -> None:
+        self.key.write_text("\n".join(keys) + "\n")
+        self.key.chmod(0o600)
+
+    def add(self, name: str, site: str = "recife", seeds: Iterable[str] = (), extra: str = "",
+            called: str = "") -> Process:
+        place = self.place / name
+        place.mkdir()
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
+            free.bind(("127.0.0.1", 0))
+            real = free.getsockname()
+        told = self.switch.add(name, real)
+        made = Process(name, site, place, real, told, tuple(seeds), extra=extra, called=called)
+        self.processes[name] = made
+        return made
+
+    def write(self, each: Process) -> None:
+        places = [self.processes[seed].told for seed in each.seeds if seed != each.name]
+        seeds = "\n".join(f"    seed {host}:{port}" for host, port in places)
+        store = f"    store {each.place}/store\n" if self.store else ""
+        each.file.write_text(
+            f"fleet {{\n    name {each.called or each.name}\n    site {each.site}\n"
+            f"    listen {each.real[0]}:{each.real[1]}\n    advertise {each.told[0]}:{each.told[1]}\n"
+            f"    key {self.key}\n{seeds}\n    probe-interval {self.interval_ms}ms\n"
+            f"    socket {each.socket}\n{store}}}\n{each.extra}")
+
+    def start(self, *names: str, wait: bool = True, state: str = "ready") -> None:
+        for name in names:
+            each = self.processes[name]
+            if each.running:
+                raise ValueError(f"{name} runs already")
+            each.starts += 1
+            self.write(each)
+            each.stopped = False
+            arguments = [sys.executable, "-B", "-m", "lilacwalk"]
+            if self.kind == "serve":
+                arguments += ["serve", "--config", str(self._handed(each)), "--file", str(each.file)]
+            else:
+                arguments += ["fleet", "run", "--file", str(each.file)]
+            each.popen = subprocess.Popen(
+                arguments, cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=subprocess.STDOUT,
+                preexec_fn=no_room if each.full else None)
+            # through a pipe: a process whose files may not grow still has something to say
+            threading.Thread(target=copy, args=(each.popen.stdout, each.place / "log"), daemon=True).start()
+            if self.kind == "run":
+                self.tell(name, state)
+        if wait:
+            for name in names:
+                self.wait(lambda name=name: self.show(name) is not None, STARTING, f"{name} answers")
+
+    def _handed(self, each: Process) -> Path:
+        if each.kernel is None:
+            each.kernel = Kernel(2)
+        given = handed(each.kernel.address) | {"name": each.called or each.name}
+        path = each.place / "handed.json"
+        path.write_text(json.dumps(given))
+        return path
+
+    def tell(self, name: str, state: str) -> None:
+        each = self.processes[name]
+        assert each.popen is not None and each.popen.stdin is not None
+        each.popen.stdin.write(f"{state}\n".encode())
+        each.popen.stdin.flush()
+
+    # Faults
+
+    def kill(self, *names: str) -> None:
+        """All at once, then waited for."""
+        running = [each for name in names if (each := self.processes[name]).running]
+        for each in running:
+            each.popen.kill()
+        for each in running:
+            each.popen.wait()
+
+    def stop(self, *names: str) -> None:
+        for name in names:
+            self.processes[name].popen.send_signal(signal.SIGSTOP)
+            self.processes[name].stopped = True
+
+    def go_on(self, *names: str) -> None:
+        for name in names:
+            self.processes[name].popen.send_signal(signal.SIGCONT)
+            self.processes[name].stopped = False
+
+    def leave(self, *names: str) -> list[int]:
+        """The exit codes."""
+        for name in names:
+            self.processes[name].popen.terminate()
+        return [self.processes[name].popen.wait(STARTING) for name in names]
+
+    def cut(self, one: Iterable[str], other: Iterable[str], both: bool = True) -> None:
+        others = list(other)
+        for here in one:
+            for there in others:
+                self.switch.faults(here, there).cut = True
+                if both:
+                    self.switch.faults(there, here).cut = True
+
+    def weather(self, name: str, **faults: float) -> None:
+        self.switch.ports[name].faults = Faults(**faults)
+
+    def heal(self) -> None:
+        self.switch.heal()
+
+    def fill(self, name: str, full: bool = True) -> None:
+        """Its disk, for this process from now on, or for its next start."""
+        each = self.processes[name]
+        each.full = full
+        if each.running:
+            room = 0 if full else resource.RLIM_INFINITY
+            resource.prlimit(each.popen.pid, resource.RLIMIT_FSIZE, (room, resource.RLIM_INFINITY))
+
+    # What they believe
+
+    def show(self, name: str) -> dict | None:
+        each = self.processes[name]
+        if not each.running or each.stopped:
+            return None
+        try:
+            found = ask(each.socket, "show")
+        except (OSError, ValueError):
+            return None
+        if not isinstance(found, dict) or "error" in found:
+            return None
+        self.looks.append(Look(time.monotonic() - self.began, name, found))
+        return found
+
+    def up(self) -> list[str]:
+        return [each.name for each in self.processes.values() if each.running and not each.stopped]
+
+    def all_shown(self, names: Iterable[str] | None = None) -> dict[str, dict | None]:
+        return {name: self.show(name) for name in (self.up() if names is None else names)}
+
+    def settled(self, names: Iterable[str] | None = None) -> bool:
+        """All digests equal, all say that they are settled, and what they say is true."""
+        names = list(self.up() if names is None else names)
+        true = {self.processes[name].called or name for name in names}
+        found = self.all_shown(names)
+        shown = [each for each in found.values() if each is not None]
+        if len(shown) < len(names) or len({each["digest"] for each in shown}) != 1:
+            return False
+        return all(each["settled"] for each in shown) and all(present(each) == true for each in shown)
+
+    def healths(self, of: str, by: Iterable[str] | None = None) -> dict[str, str]:
+        found = {}
+        for name, shown in self.all_shown(by).items():
+            if shown is not None and name != of:
+                rows = {row["name"]: row["health"] for row in shown["members"]}
+                found[name] = rows.get(of, "unknown")
+        return found
+
+    def wait(self, reached: Callable[[], bool], most: float, what: str) -> float:
+        """How long it took, in seconds. Raises TimeoutError."""
+        began = time.monotonic()
+        while not reached():
+            if time.monotonic() - began > most:
+                raise TimeoutError(f"not within {most:g} s: {what}")
+            time.sleep(LOOK)
+        return time.monotonic() - began
+
+    def log(self, name: str) -> str:
+        return (self.processes[name].place / "log").read_text()
+
+    def end(self) -> None:
+        for each in self.processes.values():
+            if each.running:
+                each.popen.kill()
+            if each.popen is not None:
+                each.popen.wait()
+                each.popen.stdin.close()
+            if each.kernel is not None:
+                each.kernel.end()
+        self.switch.end()
+        if self.keep is not None:
+            shutil.copytree(self.place, self.keep, dirs_exist_ok=True,
+                            ignore=lambda place, names: [name for name in names if name in ("s", "key")])
+        shutil.rmtree(self.place, ignore_errors=True)
+
+
+def present(shown: dict) -> set[str]:
+    return {row["name"] for row in shown["members"] if row["health"] in ("alive", "suspect")}
+
+
+def copy(lines: IO[bytes], path: Path) -> None:
+    with lines, open(path, "ab") as log:
+        for line in lines:
+            log.write(line)
+            log.flush()
+
+
+def no_room() -> None:
+    """In the child: no file grows. The signal for it is ignored, so that writing fails as on a full disk."""
+    signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
+    resource.setrlimit(resource.RLIMIT_FSIZE, (0, resource.RLIM_INFINITY))
--- a/lilacwalk/storage/journal.py
+++ b/lilacwalk/storage/journal.py
@@ -22,7 +22,8 @@
 SECOND = 10_000
 TRY_AGAIN = 5 * SECOND  # a full disk is seldom emptied sooner
 SLICE = 2_000  # rows of a snapshot between two looks at what else there is to do: some ms
-CAUSES = {errno.ENOSPC: "full", errno.EDQUOT: "full", errno.EROFS: "read-only", errno.EACCES: "read-only"}
+CAUSES = {errno.ENOSPC: "full", errno.EDQUOT: "full", errno.EFBIG: "full",
+          errno.EROFS: "read-only", errno.EACCES: "read-only"}
 
 
 class Durability(Enum):
--- a/lilacwalk/storage/state.py
+++ b/lilacwalk/storage/state.py
@@ -18,6 +18,7 @@
     LEARNED = 5  # run times, call times, p_a and its integral
     LINKS = 6  # estimates of links and patience
     DAMPING = 7  # of our announcements
+    FLEET = 8  # our life in the view of the fleet, and whom we knew last
 
 
 class State:
--- a/tests/bgp/test_speaker.py
+++ b/tests/bgp/test_speaker.py
@@ -15,7 +15,7 @@
 
 from lilacwalk.bgp import messages
 from lilacwalk.bgp.announcing import Node
-from lilacwalk.bgp.answering import Answering, ask
+from lilacwalk.bgp.answering import answering as answering_at
 from lilacwalk.bgp.attributes import GRACEFUL_SHUTDOWN
 from lilacwalk.bgp.capabilities import GracefulRestart
 from lilacwalk.bgp.peering import Action, Do
@@ -23,6 +23,7 @@
 from lilacwalk.bgp.speaker import Bounds
 from lilacwalk.commands import lilacwalk
 from lilacwalk.standins.bgp_router import PATIENCE, table
+from lilacwalk.wire.asking import ask
 from tests.bgp.conftest import orders, peer_block, THEM, update
 
 SERVICE = "192.0.2.10/32"
@@ -217,7 +218,7 @@
     own.write_text(text)
     from lilacwalk.operator.reading import orders as read
     speaker = make_speaker(read(str(own)).announce)
-    answering = Answering(speaker, path)
+    answering = answering_at(speaker, path)
     answering.start()
     assert os.stat(path).st_mode & 0o777 == 0o600
     speaker.node(Node.READY)
@@ -235,7 +236,7 @@
     assert run("received", "nobody").exit_code == run("route", "x").exit_code == 2
     assert ask(path, "sing")["error"].startswith("ask:")
     with pytest.raises(OSError):  # the name of one that answers is not taken from it
-        Answering(speaker, path)
+        answering_at(speaker, path)
     answering.end()
     assert run("show").exit_code == 2
     (tmp_path / "bgp.sock").touch()
