--- a/lilacwalk/emulator/datagrams.py
+++ b/lilacwalk/emulator/datagrams.py
@@ -122,9 +122,11 @@
             self._at(time, self._tick, node, node.machine, time)
 
     def _tick(self, node: Node, machine: Membership, time: int) -> None:
-        if node.machine is not machine or node.paused or machine is None or node.wake != time:
+        if node.machine is not machine or machine is None or node.wake != time:
             return
         node.wake = 1 << 62
+        if node.paused:
+            return
         machine.tick(self.now)
         self._carry_out(node)
 
--- a/lilacwalk/membership/membership.py
+++ b/lilacwalk/membership/membership.py
@@ -31,7 +31,8 @@
         Change.LEFT, Change.MOVED)
 EVENTS = 256  # remembered for who asks
 ERRANDS = 64  # pings for others at once
-ANSWERS = 4  # exchanges of state answered in one interval
+PIECES_LEFT = 256  # pieces told in one interval: to 250 newcomers of a small fleet, or 4 of a large one
+STRANGERS = 16  # of them asked for their rows in one interval: the others speak again, and gossip tells them
 DIFFERS = 3  # intervals that another's digest may differ before its rows are asked for: most such times pass
 SETTLE_SENDERS = 4  # whose digests must be as ours
 FIGURES_EVERY = 10  # probe intervals between two tellings of figures that changed; more in a large fleet
@@ -92,7 +93,7 @@
         self.digests: dict[str, tuple[int, int]] = {}  # by sender: its digest, and when
         self.differs_since: dict[str, int] = {}
         self.asked_sync = now - DIFFERS * orders.interval
-        self.answers_left, self.answers_until = ANSWERS, now
+        self.pieces_left, self.strangers_left, self.budget_until = PIECES_LEFT, STRANGERS, now
         self.next_lost = self.next_forget = now
         self.last_loss = now
         self.figures_at = now
@@ -500,7 +501,9 @@
         self.last_heard, self.silent = now, 0
         back = (told.host, told.port)
         if member is None or sender > (member.life, member.mark):
-            if told.what is not What.SYNC:
+            self._budget(now)
+            if told.what is not What.SYNC and self.strangers_left > 0:
+                self.strangers_left -= 1
                 self._ask_sync(back, now)  # its card is wanted
         else:
             member.heard = now
@@ -591,14 +594,18 @@
         self.counts["syncs"] += 1
         self._send(to, What.SYNC, self.probing.numbered(), first=(self.own(),), sums=self.view.sums_bytes())
 
+    def _budget(self, now: int) -> None:
+        """What strangers and askers may cost in one interval, however many they are."""
+        if now >= self.budget_until:
+            self.pieces_left, self.strangers_left = PIECES_LEFT, STRANGERS
+            self.budget_until = now + self.interval
+
     def _tell_rows(self, told: Datagram, back: tuple[str, int], now: int) -> None:
-        if now >= self.answers_until:
-            self.answers_left = ANSWERS * max(1, len(self.view.present) // 12)
-            self.answers_until = now + self.interval
-        if self.answers_left <= 0:
+        self._budget(now)
+        if self.pieces_left <= 0:
             self.counts["syncs_not_answered"] += 1
             return
-        self.answers_left -= 1
+        self.pieces_left -= 1
         if now < self.doubt_until:  # what is held here is old: it is not to be spread
             self._send(back, What.ROWS, told.number, first=(self.own(),), sums=self.view.sums_bytes(),
                        piece=1, pieces=1)
@@ -622,6 +629,7 @@
             pieces[-1].append(told)
             room -= size
         pieces = pieces[:PIECES]
+        self.pieces_left -= len(pieces) - 1
         for at, piece in enumerate(pieces):
             sums = self.view.sums_bytes() if at == 0 and what is What.ROWS else b""
             self._send(back, what, number, first=tuple(piece), told=False, sums=sums, piece=at + 1,
--- a/lilacwalk/membership/view.py
+++ b/lilacwalk/membership/view.py
@@ -139,8 +139,8 @@
         if not newer and card is None:
             confirms = (told.health is Health.SUSPECT and told.rank == member.rank and told.by != member.by)
             return Change.CONFIRMED if confirms else None
-        if member.card is None and card is None:
-            return None  # forgotten, or never known: a claim without a card brings nobody back
+        if member.card is None and (card is None or not newer):
+            return None  # forgotten: neither an old rumour nor one without a card brings anybody back
         if member.card is None and told.health not in PRESENT:
             self._set(member, told)
             return None
--- /dev/null
+++ b/tests/membership/test_simulated.py
@@ -0,0 +1,287 @@
+"""Fleets in simulated time, where many rounds matter: joins, crashes, cuts, and what loss may not do."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lilacwalk.membership.floor import allowed
+from lilacwalk.membership.messages import Health, State
+from tests.membership.conftest import counted, fleet, names, SECOND
+
+
+@pytest.mark.parametrize("count", [2, 6, 12, 48])
+def test_all_join_through_one_seed_and_hold_equal_views(count):
+    world = fleet(count, settle=False)
+    assert world.run_until(world.all_settled, 30 * SECOND) is not None
+
+
+def test_the_seed_dies_while_all_join_through_it():
+    world = fleet(12, settle=False)
+    world.run(SECOND)  # some have been told of the others, some have not
+    world.kill("n0")
+    assert world.run_until(world.all_settled, 60 * SECOND) is not None
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.15])
+@pytest.mark.parametrize("seed", range(3))
+def test_a_third_killed_at_the_same_instant_is_known_to_all_and_nobody_else_is_lost(seed, loss):
+    world = fleet(12, seed, loss=loss)
+    gone = ["n1", "n4", "n7", "n10"]
+    world.kill("n1"), world.kill("n4"), world.kill("n7"), world.kill("n10")
+    took = world.run_until(lambda: world.known_gone(*gone), 40 * SECOND)
+    assert took is not None and took <= 20 * SECOND
+    assert all(world.believed(node) == set(names(12)) - set(gone) for node in world.up())
+
+
+@pytest.mark.parametrize("elsewhere", [None, ("10.0.0.2", 5)])
+def test_killed_and_back_within_the_probe_interval_here_or_at_another_address(elsewhere):
+    world = fleet(8)
+    world.kill("n3")
+    world.run(SECOND // 5)
+    world.add("n3", "natal", ["n0"], address=elsewhere)
+    assert world.run_until(world.all_settled, 20 * SECOND) is not None
+    assert all(node.machine.view.get("n3").address == world.nodes["n3"].address for node in world.up())
+    assert counted(world, "dead") == 0
+
+
+def test_a_clock_set_back_by_years_and_no_disk_brings_back_no_old_life():
+    world = fleet(6)
+    before = world.nodes["n2"].machine.naming.life
+    world.kill("n2")
+    world.run(20 * SECOND)
+    world.add("n2", "recife", ["n0"], clock_ms=-100_000_000_000)
+    assert world.run_until(world.all_settled, 20 * SECOND) is not None
+    assert world.nodes["n2"].machine.naming.life > before
+
+
+def test_a_member_stopped_for_longer_than_a_suspicion_refutes_and_declares_nobody_dead():
+    world = fleet(12)
+    world.pause("n5")
+    assert world.run_until(lambda: world.known_gone("n5"), 30 * SECOND) is not None
+    world.run(60 * SECOND)
+    before = counted(world, "dead")
+    world.resume("n5")
+    assert world.run_until(world.all_settled, 15 * SECOND) is not None
+    world.run(30 * SECOND)
+    assert counted(world, "dead") == before + world.nodes["n5"].machine.counts["dead"]
+    assert world.nodes["n5"].machine.counts["dead"] == 0
+
+
+def test_a_stall_of_our_own_is_no_silence_of_others():
+    """As long as three probes: each would have failed."""
+    world = fleet(6)
+    world.pause("n1")
+    world.run(int(1.4 * SECOND))
+    world.resume("n1")
+    world.run(20 * SECOND)
+    assert world.nodes["n1"].machine.counts["dead"] == 0 and world.all_settled()
+
+
+def test_a_site_cut_off_and_rejoined_twice_in_ten_seconds():
+    world = fleet(12)
+    recife, others = names(12)[:4], names(12)[4:]
+    for _ in range(2):
+        world.cut(recife, others)
+        world.run(3 * SECOND)
+        world.heal()
+        world.run(2 * SECOND)
+    assert world.run_until(world.all_settled, 20 * SECOND) is not None
+
+
+def test_both_sides_of_a_cut_know_which_they_are_and_read_it_as_a_cut():
+    world = fleet(12)
+    world.cut(names(12)[:4], names(12)[4:])
+    world.run(40 * SECOND)
+    words = {name: world.nodes[name].machine.conclusion(world.now).word for name in names(12)}
+    assert [words[name] for name in names(12)] == ["minority"] * 4 + ["whole"] * 8
+    for name in names(12)[4:]:
+        assert any(event.what == "cut" and event.name == "recife" for event in world.nodes[name].events)
+
+
+@pytest.mark.parametrize("seeds_down", [False, True])
+def test_two_halves_find_each_other_after_a_minute_whichever_seeds_are_down(seeds_down):
+    world = fleet(12)
+    world.cut(names(12)[:6], names(12)[6:])
+    world.run(60 * SECOND)
+    if seeds_down:
+        world.kill("n0")
+    world.heal()
+    took = world.run_until(world.all_settled, 30 * SECOND)
+    assert took is not None and took <= 10 * SECOND
+
+
+@pytest.mark.parametrize("first", [("recife", "natal"), ("natal", "caruaru"), ("recife", "caruaru")])
+def test_a_split_in_three_is_rejoined_in_any_order(first):
+    world = fleet(9)
+    sites = {site: [name for name, node in world.nodes.items() if node.site == site]
+             for site in ("recife", "natal", "caruaru")}
+    for one, other in (("recife", "natal"), ("natal", "caruaru"), ("recife", "caruaru")):
+        world.cut(sites[one], sites[other])
+    world.run(30 * SECOND)
+    together = set(sites[first[0]] + sites[first[1]])
+    world.cuts = {(one, other) for one, other in world.cuts if not {one, other} <= together}
+    world.run(15 * SECOND)
+    assert all(world.believed(world.nodes[name]) == together for name in together)
+    world.heal()
+    assert world.run_until(world.all_settled, 20 * SECOND) is not None
+
+
+def test_a_cut_of_one_direction_costs_neither_its_place():
+    world = fleet(8)
+    world.cut(["n1"], ["n2"], both=False)
+    world.run(120 * SECOND)
+    assert counted(world, "dead") == 0
+    assert world.nodes["n1"].machine.view.get("n2").through
+
+
+def test_who_hears_but_is_not_heard_says_so_and_gives_up_nobody():
+    world = fleet(8)
+    world.cut(["n3"], [name for name in names(8) if name != "n3"], both=False)
+    world.run(30 * SECOND)
+    machine = world.nodes["n3"].machine
+    assert machine.conclusion(world.now).word == "unsure" and machine.counts["dead"] == 0
+    assert "not answered" in machine.conclusion(world.now).reason
+    world.heal()
+    assert world.run_until(world.all_settled, 20 * SECOND) is not None
+
+
+def test_who_hears_nobody_doubts_itself_first():
+    world = fleet(8)
+    world.cut(names(8)[1:], ["n0"])
+    world.run(5 * SECOND)
+    machine = world.nodes["n0"].machine
+    assert machine.conclusion(world.now).word == "alone" and machine.counts["suspect"] == 0
+
+
+def test_a_member_that_loses_three_in_ten_is_not_ejected_and_ejects_nobody():
+    world = fleet(12)
+    world.lossy["n4"] = 0.3
+    world.run(1_800 * SECOND)
+    assert counted(world, "dead") == 0
+
+
+def test_no_false_death_at_fifteen_percent_loss():
+    world = fleet(12, 5, loss=0.15)
+    world.run(1_200 * SECOND)  # four member-hours; the thousand are in benchmarks/membership.py
+    assert counted(world, "dead") == 0
+
+
+def test_a_member_that_flaps_every_second_does_not_shake_the_others():
+    world = fleet(8)
+    for _ in range(20):
+        world.kill("n6")
+        world.run(SECOND // 2)
+        world.add("n6", "caruaru", ["n0"])
+        world.run(SECOND // 2)
+    assert world.run_until(world.all_settled, 20 * SECOND) is not None
+    assert not any(event.what == "dead" and event.name != "n6"
+                   for node in world.up() for event in node.events)
+
+
+def test_all_are_replaced_one_after_the_other_and_no_leave_reads_as_a_crash():
+    world = fleet(8)
+    for at, name in enumerate(names(8)):
+        world.leave(name)
+        world.run(2 * SECOND)
+        assert all(node.machine.view.get(name).health is Health.LEFT for node in world.up())
+        world.add(name, world.nodes[name].site, [names(8)[(at + 1) % 8]])
+        world.run(3 * SECOND)
+    assert world.run_until(world.all_settled, 20 * SECOND) is not None
+    assert counted(world, "dead") == 0
+
+
+def test_two_under_one_name_are_found_and_the_later_one_yields():
+    world = fleet(6)
+    world.add("n2'", "recife", ["n0"])
+    world.run(40 * SECOND)
+    first, second = world.nodes["n2"].machine, world.nodes["n2'"].machine
+    assert second.naming.yielded_to is not None and first.naming.yielded_to is None
+    assert all(node.machine.view.get("n2").address == world.nodes["n2"].address
+               for node in world.up() if node.name != "n2'")
+    assert second.conclusion(world.now).reason == "another process holds this name"
+
+
+def test_every_member_restarted_within_a_minute_from_stores_of_yesterday():
+    world = fleet(12)
+    for name in names(12):
+        world.kill(name)
+    for name in names(12):
+        world.add(name, world.nodes[name].site, ["n0"], clock_ms=-86_400_000, keep=True)
+        world.run(5 * SECOND)
+    assert world.run_until(world.all_settled, 30 * SECOND) is not None
+
+
+def test_with_every_seed_down_the_members_kept_on_disk_are_knocked_at():
+    world = fleet(6)
+    world.kill("n0")
+    world.kill("n3")
+    world.run(20 * SECOND)
+    world.add("n3", "natal", ["n0"], keep=True)
+    assert world.run_until(world.all_settled, 30 * SECOND) is not None
+
+
+def test_sickness_of_many_withdraws_no_more_than_the_share_also_on_both_sides_of_a_cut():
+    world = fleet(12)
+    world.cut(names(12)[:6], names(12)[6:])
+    world.run(40 * SECOND)
+    for node in world.up():
+        node.machine.tell(world.now, state=State.SICK)
+    out = set()
+    for _ in range(100):
+        world.run(SECOND // 10)
+        for node in world.up():
+            if node.machine.may_withdraw(world.now) and node.name not in out:
+                out.add(node.name)
+                node.machine.tell(world.now, out=True)
+    assert len(out) <= allowed(12, 0.34)
+
+
+def test_sickness_of_all_at_once_withdraws_the_share_and_no_more():
+    world = fleet(12)
+    out = set()
+    for node in world.up():
+        node.machine.tell(world.now, state=State.SICK)
+    for _ in range(300):
+        world.run(SECOND // 10)
+        for node in world.up():
+            if node.machine.may_withdraw(world.now) and node.name not in out:
+                out.add(node.name)
+                node.machine.tell(world.now, out=True)
+    assert len(out) == allowed(12, 0.34)
+
+
+def test_every_table_stays_within_its_bound_in_a_fleet_larger_than_the_view():
+    world = fleet(30, settle=False, most=10)
+    world.run(60 * SECOND)
+    for node in world.up():
+        machine = node.machine
+        assert len(machine.view.members) <= 10 and len(machine.digests) <= 30
+        assert len(machine.events) <= 256 and len(machine.probing.errands) <= 64
+
+
+@settings(max_examples=25, deadline=None)
+@given(st.integers(0, 1_000_000), st.lists(st.tuples(
+    st.sampled_from(["kill", "back", "cut", "heal", "leave", "pause"]), st.integers(0, 6),
+    st.integers(1, 40)), max_size=8))
+def test_after_any_faults_the_views_of_those_that_can_talk_end_equal_and_true(seed, faults):
+    world = fleet(7, seed, settle=False, loss=0.1, double=0.1)
+    for what, at, tenths in faults:
+        name = f"n{at}"
+        node = world.nodes[name]
+        if what in ("kill", "leave", "pause") and node.machine is not None and not node.paused:
+            getattr(world, what)(name)
+        elif what == "back" and (node.machine is None or node.paused):
+            world.resume(name) if node.machine is not None else world.add(name, node.site, ["n0", "n1"])
+        elif what == "cut":
+            world.cut(names(7)[:at], names(7)[at:])
+        elif what == "heal":
+            world.heal()
+        world.run(tenths * SECOND // 10)
+    world.heal()
+    for node in world.nodes.values():
+        if node.paused:
+            world.resume(node.name)
+        elif node.machine is None:
+            world.add(node.name, node.site, ["n0", "n1"])
+    world.loss = 0.0
+    assert world.run_until(world.all_settled, 60 * SECOND) is not None
