--- a/lilacwalk/membership/keeping.py
+++ b/lilacwalk/membership/keeping.py
@@ -5,7 +5,7 @@
 A disk that is full, read-only, slow or not to be read takes nothing from the view. Its state has a name:
 
 off       no store is asked for
-opening   what was kept has not been read yet: it may come later, and is heeded then
+opening   what was kept has not been read, or nothing written yet: it may come later, and is heeded then
 kept      the life of this process is on the disk
 not-kept  it is not; the others remember it for as long as they run (see `naming`). Tried again every while"""
 
@@ -35,6 +35,7 @@
     def __init__(self, asked: bool, now: int) -> None:
         self.state = "opening" if asked else "off"
         self.why = ""
+        self.ready = False  # what was kept has been read
         self.life = 0  # that is on the disk
         self.putting = 0  # that is on its way there
         self.members = b""
@@ -48,9 +49,7 @@
 
     def opened(self, life: int) -> None:
         """The store is there. What it held is of the life before: this one is still to be written."""
-        self.life = life
-        self._to("not-kept", "not written yet")
-        self.changes.clear()  # that is no news
+        self.life, self.ready = life, True
 
     def cannot_open(self, why: str, now: int) -> None:
         self._to("not-kept", why)
@@ -58,7 +57,7 @@
 
     def due(self, life: int, view: View, me: str, now: int) -> list[Record]:
         """What is to be put now: a life at once, the rest now and then."""
-        if self.state in ("off", "opening") or now < self.again_at:
+        if not self.ready or now < self.again_at:
             return []
         records = []
         if life > self.life and life != self.putting:
--- /dev/null
+++ b/tests/membership/test_processes.py
@@ -0,0 +1,181 @@
+"""Real processes of the program behind a switch, and faults between them."""
+
+import os
+import signal
+import socket
+
+import pytest
+
+from lilacwalk.membership.messages import opened, seal
+from lilacwalk.standins.drill import BadScriptError, play, read
+from tests.conftest import ROOT
+from tests.membership.conftest import datagram, names, rumour
+
+SOON = 15.0  # seconds: a failure, never a wait
+
+
+def test_a_third_killed_at_once_is_known_to_all_and_back_again(running):
+    rig = running(12, sites=("recife", "natal", "caruaru"), seeds=2)
+    gone = ["n1", "n4", "n7", "n10"]
+    rig.kill(*gone)
+    rig.wait(lambda: rig.settled(), SOON, "those left hold equal and true views")
+    assert {rig.healths(name)["n0"] for name in gone} == {"dead"}
+    shown = rig.show("n0")
+    assert shown["conclusion"] == "whole" and shown["lost"] == 4
+    rig.start(*gone)
+    rig.wait(rig.settled, SOON, "settled with those that are back")
+
+
+def test_a_leave_is_told_before_the_end_and_is_no_crash(running):
+    rig = running(6)
+    assert rig.leave("n4") == [0]
+    rig.wait(lambda: set(rig.healths("n4").values()) == {"left"}, SOON, "all know that it left")
+    assert all(rig.show(name)["counts"].get("dead", 0) == 0 for name in rig.up())
+
+
+def test_a_state_is_told_to_all_and_leaving_ones_are_counted(running):
+    rig = running(5)
+    rig.tell("n1", "leaving")
+    rig.tell("n2", "leaving")
+    rig.wait(lambda: all(rig.show(name)["leaving"] == 2 for name in rig.up()), SOON, "leaving are counted")
+
+
+def test_a_process_stopped_for_longer_than_a_suspicion_refutes_and_gives_up_nobody(running):
+    rig = running(6)
+    rig.stop("n2")
+    rig.wait(lambda: set(rig.healths("n2").values()) == {"dead"}, SOON, "given up")
+    rig.go_on("n2")
+    rig.wait(rig.settled, SOON, "back")
+    assert rig.show("n2")["counts"].get("dead", 0) == 0
+
+
+def test_both_sides_of_a_cut_say_what_they_are_and_find_each_other(running):
+    rig = running(9, sites=("recife", "natal", "caruaru"))
+    recife, others = names(9)[:3], names(9)[3:]
+    rig.cut(recife, others)
+    rig.wait(lambda: all(rig.show(name)["conclusion"] == "minority" for name in recife), SOON, "minority")
+    rig.wait(lambda: all(rig.show(name)["conclusion"] == "whole" for name in others), SOON, "whole")
+    assert all(row["cut"] for row in rig.show("n8")["members"] if row["site"] == "recife")
+    rig.heal()
+    rig.wait(rig.settled, SOON, "one fleet again")
+
+
+def test_two_under_one_name_are_told_and_one_yields(make_rig):
+    rig = make_rig(4)
+    rig.add("twin", seeds=["n0"], called="n2")
+    rig.start(*names(4))
+    rig.wait(rig.settled, SOON, "settled")
+    rig.start("twin")
+    rig.wait(lambda: "change=yielded" in rig.log("twin"), SOON, "the later one yields")
+    assert rig.show("twin")["reason"] == "another process holds this name"
+    rig.wait(lambda: rig.settled(names(4)), SOON, "the others settle on the first")
+
+
+def test_a_disk_that_is_full_takes_nothing_from_the_view_and_is_said_once(running):
+    rig = running(4)
+    rig.wait(lambda: rig.show("n2")["store"] == "kept", SOON, "kept")
+    life = rig.show("n2")["life"]
+    rig.kill("n2")
+    rig.fill("n2")
+    rig.start("n2")
+    rig.wait(rig.settled, SOON, "settled on a full disk")
+    rig.wait(lambda: rig.show("n2")["store"] == "not-kept", SOON, "named")
+    assert rig.show("n2")["life"] > life
+    rig.fill("n2", False)
+    rig.wait(lambda: rig.show("n2")["store"] == "kept", SOON, "tried again")
+    assert rig.log("n2").count("state=not-kept") == 1
+
+
+def test_a_store_that_cannot_be_opened_takes_nothing_from_the_view(make_rig):
+    rig = make_rig(3)
+    (rig.processes["n1"].place / "store").write_text("a file where a directory should be")
+    rig.start(*names(3))
+    rig.wait(rig.settled, SOON, "settled")
+    rig.wait(lambda: rig.show("n1")["store"] == "not-kept", SOON, "named")
+
+
+def test_with_every_seed_down_the_members_on_disk_are_found(running):
+    rig = running(4)
+    rig.wait(lambda: "members" in (rig.show("n2") or {}) and rig.show("n2")["store"] == "kept", SOON, "kept")
+    rig.wait(lambda: has_kept_members(rig, "n2"), 20, "whom it knows is on the disk")
+    rig.kill("n0", "n2")
+    rig.start("n2")
+    rig.wait(lambda: rig.settled(["n1", "n2", "n3"]), SOON, "found without the seed")
+
+
+def has_kept_members(rig, name):
+    store = rig.processes[name].place / "store"
+    return any(b"members" in each.read_bytes() for each in store.iterdir())
+
+
+def test_a_key_is_changed_under_way_without_anybody_being_lost(running):
+    rig = running(4)
+    old, new = rig.key.read_text().strip(), "ab" * 32
+    for keys in ((old, new), (new, old), (new,)):
+        rig.write_keys(*keys)
+        for name in names(4):  # one after the other: in between, both keys are in use
+            rig.processes[name].popen.send_signal(signal.SIGHUP)
+            told = f"event=fleet_reloaded seeds={0 if name == 'n0' else 1} keys={len(keys)}"
+            count = rig.log(name).count(told)
+            rig.wait(lambda name=name, told=told, count=count: rig.log(name).count(told) > count or count,
+                     SOON, "reloaded")
+    rig.wait(rig.settled, SOON, "settled with the new key")
+    assert all(rig.show(name)["counts"].get("dead", 0) == 0 for name in names(4))
+
+
+def test_what_is_no_datagram_of_ours_is_counted_and_changes_nothing(running):
+    rig = running(3)
+    key = bytes.fromhex(rig.key.read_text().strip())
+    good = seal(datagram(name="stranger", rumours=(rumour("ghost", card=False),)), key)
+    assert opened(good, (key,))
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        wrong = [b"", bytes(65_507), seal(datagram(), bytes(32)), *(good[:at] for at in range(len(good)))]
+        for data in wrong:
+            sock.sendto(data, rig.processes["n1"].real)
+        rig.wait(lambda: "why=long" in rig.log("n1") and "why=seal" in rig.log("n1"), SOON, "told in the log")
+    assert rig.settled() and "ghost" not in str(rig.show("n1"))
+
+
+def test_a_file_whose_key_others_may_read_ends_the_start_with_2(make_rig):
+    rig = make_rig(1)
+    os.chmod(rig.key, 0o644)
+    rig.start("n0", wait=False)
+    assert rig.processes["n0"].popen.wait(SOON) == 2
+    rig.wait(lambda: "expected mode 0600" in rig.log("n0"), SOON, "says why")
+
+
+def test_datagrams_lost_doubled_delayed_and_out_of_order_lose_nobody(running):
+    rig = running(8)
+    for name in names(8):
+        rig.weather(name, loss=0.05, double=0.1, delay=0.002, jitter=0.02)
+    rig.kill("n3")
+    rig.wait(lambda: set(rig.healths("n3").values()) == {"dead"}, SOON, "known to all")
+    assert all(healths == "alive" for name in names(8) if name != "n3"
+               for healths in rig.healths(name).values())
+    rig.heal()
+    rig.wait(rig.settled, SOON, "settled")
+
+
+# Drills
+
+def test_a_drill_names_the_line_that_did_not_hold(tmp_path, capsys):
+    script = tmp_path / "x.drill"
+    script.write_text("members 3\nprobe-interval 100ms\nstart all\nexpect settled within 10s\n"
+                      "expect health dead n1 within 300ms\nexpect health alive n1 within 1s\n")
+    assert not play(read(str(script)), quiet=True)
+    out = capsys.readouterr().out
+    assert f"{script}:5: not held: expect health dead n1 within 300ms" in out and "2 of 3" in out
+
+
+def test_all_that_is_wrong_with_a_script_is_told_at_once(tmp_path):
+    script = tmp_path / "x.drill"
+    script.write_text("members many\nexplode n1\nexpect settled\nkill nobody\nloss 30 n1\nwait 5\n"
+                      "members 3\n")
+    with pytest.raises(BadScriptError) as error:
+        read(str(script))
+    lines = [line.split(":")[1] for line in str(error.value).splitlines()]
+    assert lines == ["1", "2", "3", "4", "5", "6", "7"]
+
+
+def test_the_drill_of_the_readme_holds():
+    assert play(read(str(ROOT / "drills/crash.drill")), quiet=True)
