A plan for the loss of a site: shares, refusals, the paced return, the tool, the living node

Need: the others must take a lost site's load without falling over, refuse the right things first and take it back without a second fall.

Off without a sites block.

--- a/lilacwalk/bgp/announcing.py
+++ b/lilacwalk/bgp/announcing.py
@@ -207,6 +207,15 @@
                    local_pref=0 if internal else None)
 
 
+def routable(orders: Announce, service: Service, peer: Peer) -> bool:
+    """Whether there is a next hop of its family: the file's own services are checked for it, another site's
+    are not."""
+    try:
+        return bool(next_hop(orders, service, peer))
+    except ValueError:
+        return False
+
+
 def next_hop(orders: Announce, service: Service, peer: Peer) -> str:
     """The service's own, else the peer's where its family fits, else that of all."""
     family = 6 if service.prefix.afi == 2 else 4  # type: ignore[attr-defined]
--- a/lilacwalk/bgp/speaker.py
+++ b/lilacwalk/bgp/speaker.py
@@ -19,7 +19,7 @@
 from lilacwalk.bgp.messages import Stream
 from lilacwalk.bgp.peering import Action, Do, notification_of
 from lilacwalk.bgp.speaking import Speaking
-from lilacwalk.bgp.terms import Announce, SECOND
+from lilacwalk.bgp.terms import Announce, SECOND, Service
 from lilacwalk.wire.listening import listen
 from lilacwalk.wire.outbox import hang_up, Outbox
 
@@ -173,6 +173,10 @@
     def node(self, state: Node) -> None:
         self.inbox.put((self._node, state))
 
+    def stand_in(self, services: tuple[Service, ...]) -> None:
+        """Other sites' services, from now on; none ends it."""
+        self.inbox.put((self._stand_in, services))
+
     def floor(self, may_go: bool) -> None:
         """What the view of the fleet says of a withdrawal for sickness."""
         self.inbox.put((self._floor, may_go))
@@ -309,6 +313,9 @@
     def _node(self, state: Node) -> None:
         self.speaking.node(state, self.now())
 
+    def _stand_in(self, services: tuple[Service, ...]) -> None:
+        self.speaking.stand_in(services, self.now())
+
     def _floor(self, may_go: bool) -> None:
         self.speaking.floor(may_go, self.now())
 
--- a/lilacwalk/bgp/speaking.py
+++ b/lilacwalk/bgp/speaking.py
@@ -6,13 +6,13 @@
 import random
 from itertools import count
 
-from lilacwalk.bgp.announcing import Announcing, attributes, Decision, Level, Node
+from lilacwalk.bgp.announcing import Announcing, attributes, Decision, Level, Node, routable
 from lilacwalk.bgp.attributes import Attributes
 from lilacwalk.bgp.errors import BgpError, Cease
 from lilacwalk.bgp.peering import Action, Do, Peering
 from lilacwalk.bgp.policy import Refused
 from lilacwalk.bgp.prefixes import Afi, Prefix
-from lilacwalk.bgp.terms import Announce, Peer, SECOND
+from lilacwalk.bgp.terms import Announce, Peer, SECOND, Service
 
 STALL = SECOND  # a pass that comes this much late: the process stood still, and what came is unread
 CATCH_UP = SECOND // 2  # for the readers to hand over what waits in their sockets after that
@@ -29,6 +29,7 @@
         self.began = now
         self.decision = Decision(Level.NONE, "cold", None)
         self.expected = now  # when the next pass was due
+        self.standing_in: tuple[Service, ...] = ()  # of other sites, announced in their place
         self.ended = False
 
     def start(self, now: int) -> None:
@@ -62,6 +63,19 @@
         self.announcing.floor(may_go)
         self._follow(now)
 
+    def stand_in(self, services: tuple[Service, ...], now: int) -> None:
+        """Other sites' services, told as less wanted than their own nodes' while this one is well: so their
+        return alone draws the traffic home, whatever is withdrawn late here."""
+        self._at(now)
+        if services == self.standing_in:
+            return
+        self.standing_in = services
+        names = ",".join(str(each.prefix) for each in services) or "none"
+        self.actions.append(Action(Do.LOG, 0, {"event": "standing_in", "services": names}))
+        for peer in self.peers.values():
+            peer.want(self._routes(peer.peer))
+            self.actions += peer.taken()
+
     def leave(self, now: int, door_by: int | None) -> None:
         self._at(now)
         self.announcing.leave(now, door_by)
@@ -175,8 +189,13 @@
         level = self.announcing.level
         if level is Level.NONE:
             return {}
-        return {service.prefix: attributes(self.orders, service, peer, level)  # type: ignore[misc]
-                for service in self.orders.service}
+        found = {}
+        if level is Level.NORMAL:  # who is unwell, or leaves, stands in for nobody
+            found = {service.prefix: attributes(self.orders, service, peer, Level.LESS_WANTED)
+                     for service in self.standing_in if routable(self.orders, service, peer)}
+        found |= {service.prefix: attributes(self.orders, service, peer, level)
+                  for service in self.orders.service}
+        return found  # type: ignore[return-value]
 
     def taken(self) -> list[Action]:
         actions, self.actions = self.actions, []
--- a/lilacwalk/lifecycle/announcer.py
+++ b/lilacwalk/lifecycle/announcer.py
@@ -12,7 +12,7 @@
 from lilacwalk.bgp.answering import answering
 from lilacwalk.bgp.readiness import Facts, node
 from lilacwalk.bgp.speaker import Speaker
-from lilacwalk.bgp.terms import Announce
+from lilacwalk.bgp.terms import Announce, Service
 
 log = logging.getLogger(__name__)
 
@@ -54,6 +54,9 @@
     def floor(self, may_go: bool) -> None:
         self.speaker.floor(may_go)
 
+    def stand_in(self, prefixes: tuple[object, ...]) -> None:
+        self.speaker.stand_in(tuple(Service(prefix=each) for each in prefixes))
+
     def _level(self, level: Level) -> None:
         """In the speaker's thread."""
         self.inbox.put((self._levelled, level))
--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -34,6 +34,7 @@
     from lilacwalk.lifecycle.announcer import Announcer
     from lilacwalk.lifecycle.fleet import FleetPart
     from lilacwalk.membership.terms import Fleet
+    from lilacwalk.sites.terms import Sites
 
 log = logging.getLogger(__name__)
 
@@ -44,6 +45,7 @@
     announce: Announce | None
     edge: Edge | None
     fleet: Fleet | None
+    sites: Sites | None
 
 
 class PartFailedError(Exception):
@@ -75,6 +77,7 @@
         self.devices: Devices | None = None  # likewise
         self.announcer: Announcer | None = None  # where the operator's own file asks for one
         self.fleet: FleetPart | None = None  # likewise
+        self.stands_in_for: tuple[str, ...] = ()  # other sites, as the plan says
         self.may_go = True  # for sickness, as the view says; without one nothing speaks against it
         self.warm_at = 0  # when a cold start is over
         self.ended = False
@@ -372,28 +375,38 @@
         """The operator's own file, at start and after a reload. Raises CannotUseError, and nothing has
         changed."""
         self._edge(orders.edge if orders is not None else None)
-        self._fleet(orders.fleet if orders is not None else None)
+        self._fleet(orders.fleet if orders is not None else None, orders.sites if orders is not None
+                    else None)
         self.announce(orders.announce if orders is not None else None)
 
-    def _fleet(self, orders: Fleet | None) -> None:
+    def _fleet(self, orders: Fleet | None, sites: Sites | None) -> None:
         """What the operator's own file says of the view of the fleet."""
         if orders is None:
             if self.fleet is not None:
                 self.fleet.end(1.0)
                 self.fleet = self.out.fleet = None
                 self._floor(True, "")
+                self._stand_in(())
             return
         from lilacwalk.membership.host import FleetError
         try:
             if self.fleet is not None:
                 self.fleet.host.reload(orders)
+                if sites is not None and self.fleet.sites is not None:
+                    self.fleet.sites.orders = sites  # looked at by the view's thread the next time
+                elif (sites is None) != (self.fleet.sites is None):
+                    log.warning("event=reload_ignored detail='sites come and go with the fleet block'")
             elif not self.stop_at:
                 from lilacwalk import __version__
                 from lilacwalk.lifecycle.fleet import FleetPart
+                part = None
+                if sites is not None:
+                    from lilacwalk.lifecycle.sites import SitesPart
+                    part = SitesPart(sites, lambda mine: self.inbox.put((self._stand_in, mine)))
                 self.may_go = False  # until the view says otherwise: a doubt is resolved towards serving
                 self.fleet = self.out.fleet = FleetPart(
                     orders, self.catalog.name, self.server.cores, __version__,
-                    lambda may_go, word: self.inbox.put((self._floor, may_go, word)))
+                    lambda may_go, word: self.inbox.put((self._floor, may_go, word)), part)
                 self.fleet.start()
         except FleetError as error:
             raise CannotUseError(str(error)) from None
@@ -405,6 +418,15 @@
         if self.announcer is not None:
             self.announcer.floor(may_go)
 
+    def _stand_in(self, sites: tuple[str, ...]) -> None:
+        """For these the plan chooses this node to announce their services, too."""
+        self.stands_in_for = sites
+        if self.announcer is not None:
+            part = self.fleet.sites if self.fleet is not None else None
+            prefixes = tuple(prefix for each in (part.orders.site if part is not None else ())
+                             if each.name in sites for prefix in each.service)
+            self.announcer.stand_in(prefixes)
+
     def _out(self, out: bool) -> None:
         if self.fleet is not None:
             self.fleet.host.tell(out=out)
@@ -453,6 +475,7 @@
             except OSError as error:
                 raise CannotUseError(f"cannot announce: {error.strerror or error}") from None
             self.announcer.floor(self.may_go)
+            self._stand_in(self.stands_in_for)
             self.announcer.start()
 
     # Leaving
--- a/lilacwalk/lifecycle/fleet.py
+++ b/lilacwalk/lifecycle/fleet.py
@@ -6,6 +6,8 @@
 import logging
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
+from typing import TYPE_CHECKING
 
 from lilacwalk.bgp.announcing import Node
 from lilacwalk.bgp.readiness import Facts, node
@@ -16,6 +18,9 @@
 from lilacwalk.membership.terms import Fleet
 from lilacwalk.memory.records import Final
 
+if TYPE_CHECKING:
+    from lilacwalk.lifecycle.sites import SitesPart
+
 log = logging.getLogger(__name__)
 FIGURES = 10_000  # between two tellings of figures: what is passed on is bounded by the view itself
 REFUSES = 6  # endpoint groups told, those with most denials first
@@ -24,13 +29,19 @@
 
 class FleetPart:
     def __init__(self, orders: Fleet, name: str, cores: int, revision: str,
-                 on_floor: Callable[[bool, str], None]) -> None:
+                 on_floor: Callable[[bool, str], None], sites: SitesPart | None = None) -> None:
         """`on_floor`: in the view's thread, whether this node may withdraw for sickness, and what the view
         concludes. Raises FleetError, OSError."""
         self.on_floor, self.cores = on_floor, cores
-        self.host = FleetHost(orders, name, self._view, revision=revision)
+        self.sites = sites
+        self.host = FleetHost(orders, name, self._view, revision=revision,
+                              on_look=sites.look if sites is not None else None)
+        other = None
+        if sites is not None:
+            from lilacwalk.lifecycle.sites import answer
+            other = partial(answer, host=self.host, part=sites)
         try:
-            self.asking = answering(self.host, orders.socket) if orders.socket is not None else None
+            self.asking = answering(self.host, orders.socket, other) if orders.socket is not None else None
         except OSError:
             self.host._close()
             raise
--- /dev/null
+++ b/lilacwalk/lifecycle/sites.py
@@ -0,0 +1,115 @@
+"""The plan for the loss of a site on a living node: looks at the view in the view's own thread, and says
+for which other sites this node stands in. Loaded only where the operator's file has a sites block."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable
+
+from lilacwalk.membership.host import FleetHost, SECOND
+from lilacwalk.membership.membership import Membership
+from lilacwalk.sites.asked import Asked, newest, put
+from lilacwalk.sites.judging import Seen
+from lilacwalk.sites.standing import Member, SitesMachine
+from lilacwalk.sites.terms import Sites
+
+log = logging.getLogger(__name__)
+
+
+def wall_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
+class SitesPart:
+    """All but the constructor runs in the view's thread. `on_stand_in`: told the sites for which this node
+    stands in, whenever they change."""
+
+    def __init__(self, orders: Sites, on_stand_in: Callable[[tuple[str, ...]], None]) -> None:
+        self.orders, self.on_stand_in = orders, on_stand_in
+        self.machine: SitesMachine | None = None
+        self.mine: tuple[str, ...] = ()
+        self.heeded: dict[str, Asked] = {}
+        self.conclusion = ""
+
+    def look(self, view: Membership, now: int) -> None:
+        if self.machine is None:
+            self.machine = SitesMachine(self.orders, view.name, view.orders.site, now)
+        elif self.machine.orders is not self.orders:
+            self.machine.reordered(self.orders, now)
+        self._heed(view, now)
+        self.conclusion = view.conclusion(now).word
+        rows = [Member(each.name, Seen(each.card.site, each.health, each.card.state, each.card.cores,
+                                       each.card.load / 1000, each.card.finished))
+                for each in view.view.known() if each.card is not None]
+        standings = self.machine.look(rows, self.conclusion, now)
+        for site, stage, why in self.machine.changes:
+            log.info({"event": "site", "site": site, "stage": stage, "why": why,
+                      "share": round(self.machine.returning[site].share, 3)})
+        self.machine.changes.clear()
+        if standings.mine != self.mine:
+            self.mine = standings.mine
+            log.info({"event": "stands_in_for", "sites": ",".join(self.mine) or "none"})
+            self.on_stand_in(self.mine)
+
+    def _heed(self, view: Membership, now: int) -> None:
+        """Orders of operators, wherever they were given. One that is gone from all cards is over."""
+        assert self.machine is not None
+        wall = wall_ms()
+        found = newest((each.card.asked for each in view.view.known() if each.card is not None), wall)
+        for site, asked in found.items():
+            if self.heeded.get(site) != asked:
+                until = now + (asked.until - wall) * 10
+                if asked.verb == "release":
+                    self.machine.release(site, now)
+                else:
+                    self.machine.hold(site, until, now, drain=asked.verb == "drain")
+                log.info({"event": "site_asked", "site": site, "verb": asked.verb,
+                          "for_s": (asked.until - wall) // 1000})
+        self.heeded = found
+
+    def shown(self, now: int) -> dict:
+        """Stage of each site, shares, why, and what comes next."""
+        machine = self.machine
+        if machine is None:
+            return {"error": "has not looked yet"}
+        standings = machine.standings
+        sites = []
+        for name, returning in sorted(machine.returning.items()):
+            seen = standings.sites.get(name)
+            sites.append({
+                "site": name, "stage": returning.stage.value, "share": round(returning.share, 3),
+                "why": returning.why, "since_ms": (now - returning.since) // 10, "losses": returning.losses,
+                "standing": seen.standing.value if seen is not None else "unclear",
+                "there": seen.there if seen is not None else 0, "known": seen.known if seen is not None
+                else 0,
+                "held_for_s": max(0, returning.held_until - now) // SECOND,
+                "away_for_s": max(0, returning.away_until - now) // SECOND,
+                "stand_ins": standings.stand_ins.get(name, [])})
+        made = standings.plan
+        return {"name": machine.name, "site": machine.site, "conclusion": self.conclusion, "sites": sites,
+                "stands_in_for": list(standings.mine),
+                "plan": None if made is None else {
+                    "shares": {name: round(part, 3) for name, part in made.shares().items()},
+                    "utilisation": {name: round(part, 3) for name, part in made.utilisation.items()},
+                    "refused": {name: round(part, 3) for name, part in made.refused.items()},
+                    "binding": made.binding, "holds": made.holds}}
+
+
+def answer(words: list[str], host: FleetHost, part: SitesPart) -> object:
+    """`sites`, or `sites hold|drain|release SITE SECONDS`."""
+    if words == ["sites"]:
+        return host.ask(lambda view, now: part.shown(now))
+    if len(words) == 4 and words[1] in ("hold", "drain", "release") and words[3].isdecimal():
+        known = {each.name for each in part.orders.site}
+        if words[2] not in known:
+            return {"error": f"no site {words[2]}"}
+        now = wall_ms()
+        asked = Asked(words[1], words[2], now, now + int(words[3]) * 1000)
+
+        def told(view: Membership, at: int) -> dict:
+            view.tell(at, asked=put(view.card.asked, asked, now))
+            part.look(view, at)
+            return part.shown(at)
+        return host.ask(told)
+    return {"error": "ask: sites, sites hold|drain|release SITE SECONDS"}
--- a/lilacwalk/membership/answering.py
+++ b/lilacwalk/membership/answering.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 
 from lilacwalk.membership.host import FleetHost, SECOND
 from lilacwalk.membership.membership import Membership
@@ -42,8 +43,11 @@
              "by": each.by} for each in machine.events]
 
 
-def answer(line: str, host: FleetHost) -> object:
+def answer(line: str, host: FleetHost, other: Callable[[list[str]], object] | None = None) -> object:
+    """`other`: answers what begins with `sites`, where that part is there."""
     words = line.split()
+    if words[:1] == ["sites"]:
+        return other(words) if other is not None else {"error": "no sites block in this program's file"}
     if words == ["show"]:
         return host.ask(lambda machine, now: shown(machine, now, host.keeping.state))
     if words == ["events"]:
@@ -78,6 +82,6 @@
             "health": (found.health if found else Health.DEAD).name.lower()}
 
 
-def answering(host: FleetHost, path: str) -> Asking:
+def answering(host: FleetHost, path: str, other: Callable[[list[str]], object] | None = None) -> Asking:
     """Raises OSError."""
-    return Asking(path, lambda line: answer(line, host), "fleet-answering")
+    return Asking(path, lambda line: answer(line, host, other), "fleet-answering")
--- a/lilacwalk/membership/host.py
+++ b/lilacwalk/membership/host.py
@@ -28,6 +28,7 @@
 
 log = logging.getLogger(__name__)
 SECOND = 10_000
+LOOK_EVERY = 2_000  # five times a second, for what is built on the view: its own times are seconds
 KEY_LEAST, KEY_MOST, KEYS = 16, 64, 4  # bytes, as BLAKE2 takes them; keys in a file: two while it changes
 
 
@@ -88,12 +89,14 @@
     def __init__(self, asked: Fleet, name: str = "",
                  on_view: Callable[[Membership, int], None] | None = None,
                  bounds: Bounds = Bounds(), clock: Callable[[], int] = time.monotonic_ns,
-                 wall: Callable[[], float] = time.time, seed: int | None = None, revision: str = "") -> None:
-        """Raises FleetError where the key cannot be used, OSError where the address cannot."""
+                 wall: Callable[[], float] = time.time, seed: int | None = None, revision: str = "",
+                 on_look: Callable[[Membership, int], None] | None = None) -> None:
+        """`on_look`: called in this part's own thread, `LOOK_EVERY` after the last time. Raises FleetError
+        where the key cannot be used, OSError where the address cannot."""
         if not (asked.name or name):
             raise FleetError("fleet: expected a name")
         self.asked, self.name, self.bounds, self.clock = asked, asked.name or name, bounds, clock
-        self.on_view = on_view
+        self.on_view, self.on_look, self.next_look = on_view, on_look, self.now()
         self.keys = read_keys(asked.key)
         family = socket.AF_INET6 if ":" in asked.listen[0] else socket.AF_INET
         self.sock = socket.socket(family, socket.SOCK_DGRAM)
@@ -216,7 +219,8 @@
 
     def _pass(self) -> None:
         machine = self.machine
-        wait = max(0, machine.due() - self.now()) / SECOND
+        due = machine.due() if self.on_look is None else min(machine.due(), self.next_look)
+        wait = max(0, due - self.now()) / SECOND
         try:
             handler, *arguments = self.inbox.get(timeout=wait) if wait else self.inbox.get_nowait()
             for _ in range(self.bounds.a_pass):
@@ -230,6 +234,9 @@
         if self.inbox.empty() or machine.due() + machine.interval < self.now():
             machine.tick(self.now())
         self._carry_out()
+        if self.on_look is not None and self.now() >= self.next_look:
+            self.next_look = self.now() + LOOK_EVERY
+            self.on_look(machine, self.now())
 
     def _carry_out(self) -> None:
         machine, now = self.machine, self.now()
--- a/lilacwalk/membership/membership.py
+++ b/lilacwalk/membership/membership.py
@@ -178,7 +178,8 @@
         would grow with it."""
         card = self.figures or self.card
         made = changed(card, **figures) if figures else card
-        if state is not None and state is not made.state or out is not None and out is not made.out:
+        if state is not None and state is not made.state or out is not None and out is not made.out or (
+                made.asked != self.card.asked):
             made = changed(made, state=made.state if state is None else state,
                            out=made.out if out is None else out)
             self._carry(made, now, news=True)
--- a/lilacwalk/membership/messages.py
+++ b/lilacwalk/membership/messages.py
@@ -82,6 +82,8 @@
     p_a: Milli = 1_000
     refuses: Annotated[tuple[Annotated[str, Meta(max_length=24)], ...], Meta(max_length=6)] = ()
     revision: Annotated[str, Meta(max_length=16)] = ""
+    # by an operator
+    asked: Annotated[tuple[Annotated[str, Meta(max_length=80)], ...], Meta(max_length=4)] = ()
 
 
 class Rumour(Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
--- a/lilacwalk/operator/check.py
+++ b/lilacwalk/operator/check.py
@@ -22,6 +22,10 @@
         print("fleet=off")
     else:
         code = fleet(made.fleet) or code
+    if made is None or made.sites is None:
+        print("sites=off")
+    else:
+        sites(made.sites, path)
     if made is None or made.announce is None:
         print("announce=off")
         return code
@@ -69,6 +73,32 @@
     return 0
 
 
+def sites(asked, path: str) -> None:
+    """What must be borne and is not is a warning: the file can be used, and says so."""
+    from lilacwalk.sites.planning import more_cores, places, plan, to_bear
+    here = places(asked)
+    print(f"sites={len(asked.site)} classes={len(asked.classes)} headroom={asked.headroom:g} "
+          f"bear={','.join(asked.bear)}")
+    line = line_of(path, "bear")
+    for names in to_bear(asked):
+        made = plan(asked, here, dict.fromkeys(names, 1.0))
+        if not made.holds:
+            more = more_cores(asked, here, made.lost)
+            would = "no number of cores helps" if more is None else f"{more} more cores would do"
+            print(f"{path}:{line}: warning: the loss of {' and '.join(names)} is not borne: "
+                  f"{made.binding} binds, {would}")
+
+
+def line_of(path: str, keyword: str) -> int:
+    """The line of a statement in the sites block, or of the block itself where it is left out."""
+    from lilacwalk.operator.reading import read_text
+    from lilacwalk.operator.syntax import parse
+    for each in parse(read_text(path))[0]:
+        if each.keyword == "sites":
+            return next((inner.line for inner in each.block or [] if inner.keyword == keyword), each.line)
+    return 1
+
+
 def edge(asked) -> int:
     """Also what the file names: secrets, certificates and keys that cannot be used are found here, not at a
     start."""
--- a/lilacwalk/operator/schema.py
+++ b/lilacwalk/operator/schema.py
@@ -16,6 +16,7 @@
 from lilacwalk.membership.terms import Fleet
 from lilacwalk.operator.syntax import Fault, Statement
 from lilacwalk.operator.units import flag, number, UNITS, whole
+from lilacwalk.sites.terms import Sites
 
 
 class Orders(Struct, frozen=True, kw_only=True):
@@ -24,6 +25,14 @@
     announce: Announce | None = None
     edge: Edge | None = None
     fleet: Fleet | None = None
+    sites: Sites | None = None
+
+    def faults(self) -> list[tuple[str, str]]:
+        if self.sites is not None and self.fleet is not None:
+            known = {each.name for each in self.sites.site}
+            if self.fleet.site not in known:
+                return [("sites", f"a site {self.fleet.site}, which the fleet block names")]
+        return []
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/lilacwalk/sites/refusing.py
@@ -0,0 +1,123 @@
+"""What is refused first when there is not enough for all: a choice of work by its benefit for what is scarce.
+
+Scarce are a site's cores and, for all sites together, the calls that a shared dependency survives. Each
+portion of work (a class, from home or from a lost site) has a value for a core-second and makes calls for
+it. With a price μ on a call, the best at each site are those with the highest value - μ·calls, none below
+zero. μ is the least at which the calls fit; between the choices just above and just below it the calls are
+met exactly. That is the optimum of the linear programme (Lagrange), floors apart.
+
+The rules of admission hold: what began is never refused half way (the plan is for what comes next); at equal
+worth what can come back (repeatable) goes before what cannot; guests and home traffic have a least share
+each."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from lilacwalk.sites.terms import Class, SECOND
+
+COMES_BACK = {"repeatable": 0.0, "deduplicated": 1e-6, "mutating": 2e-6}  # decides between equals alone
+HALVINGS = 60  # of the price's range: finer than any figure that is known
+TINY = 1e-9
+
+
+@dataclass(frozen=True, slots=True)
+class Portion:
+    """Work of one class at one site: `work` in cores' worth; `value` of a core-second of it, and the
+    `calls` made for one."""
+
+    kind: Class
+    site: str  # where it would run
+    source: str  # whose users it serves
+    work: float
+    value: float
+    calls: float
+
+    @property
+    def guest(self) -> bool:
+        return self.site != self.source
+
+
+def portion(kind: Class, site: str, source: str, work: float, cost: int) -> Portion:
+    """`cost`: what the path adds. Work that cannot end in its SLO time over that path is worth nothing;
+    before that, it is worth less by the part of its slack that the path eats."""
+    seconds = kind.work / SECOND
+    value = kind.benefit / seconds
+    if kind.slo is not None and site != source:
+        slack = kind.slo - kind.work
+        value *= max(0.0, 1 - cost / slack) if slack > 0 else 0.0
+    return Portion(kind, site, source, work, value, kind.calls / seconds)
+
+
+def order(portions: list[Portion], price: float) -> list[Portion]:
+    """The best first."""
+    return sorted(portions, key=lambda each: (
+        -(each.value - price * each.calls + COMES_BACK[each.kind.effect]), each.guest, each.kind.name,
+        each.source))
+
+
+def fill(portions: list[Portion], room: float, least: float, price: float) -> list[Portion]:
+    """What is admitted at one site. `least`: the share of its room that guests, and home traffic, may always
+    have of it."""
+    ordered = order(portions, price)
+    admitted = [0.0] * len(ordered)
+    left = room
+    for guest in (False, True):  # first what each side may have in any case, its best
+        floor = min(sum(each.work for each in portions if each.guest is guest), least * room)
+        for at, each in enumerate(ordered):
+            if each.guest is guest and floor > TINY:
+                admitted[at] = min(each.work, floor)
+                floor -= admitted[at]
+                left -= admitted[at]
+    for at, each in enumerate(ordered):
+        if each.value > price * each.calls or not price:
+            taken = min(each.work - admitted[at], max(0.0, left))
+            admitted[at] += taken
+            left -= taken
+    return [replace(each, work=work) for each, work in zip(ordered, admitted, strict=True)]
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    admitted: list[Portion]
+    price: float  # of a call; 0: calls are not scarce
+
+    @property
+    def calls(self) -> float:
+        return sum(each.work * each.calls for each in self.admitted)
+
+    @property
+    def benefit(self) -> float:
+        return sum(each.work * each.value for each in self.admitted)
+
+
+def choose(portions: list[Portion], rooms: dict[str, float], calls: float | None, least: float) -> Choice:
+    """`calls`: that may be made a second in all; None: any."""
+    def at_price(price: float) -> Choice:
+        admitted: list[Portion] = []
+        for site in sorted(rooms):
+            here = [each for each in portions if each.site == site]
+            admitted += sorted(fill(here, rooms[site], least, price),
+                               key=lambda each: (each.kind.name, each.source))
+        return Choice(admitted, price)
+    low, found = 0.0, at_price(0.0)
+    if calls is None or found.calls <= calls * (1 + TINY):
+        return found
+    high = max((each.value / each.calls for each in portions if each.calls), default=0.0) + 1.0
+    fits = at_price(high)
+    if fits.calls > calls:  # the floors alone make too many: all alike give way
+        part = calls / fits.calls
+        return Choice([replace(each, work=each.work * (part if each.calls else 1.0))
+                       for each in fits.admitted],
+                      high)
+    for _ in range(HALVINGS):
+        middle = (low + high) / 2
+        made = at_price(middle)
+        if made.calls > calls:
+            low, found = middle, made
+        else:
+            high, fits = middle, made
+    # both fit the rooms, and so does what lies between
+    part = (calls - fits.calls) / (found.calls - fits.calls)
+    return Choice([replace(one, work=one.work * part + other.work * (1 - part))
+                   for one, other in zip(found.admitted, fits.admitted, strict=True)], high)
--- /dev/null
+++ b/lilacwalk/sites/standing.py
@@ -0,0 +1,153 @@
+"""All of the plan on one living node: the view in; which sites are lost and at which stage, what share of
+their load is wanted where, and whether this node stands in, out. The same on every node with the same view.
+
+Nodes that stand in for a lost site are chosen by rank among the stand-in sites' ready nodes: as many as the
+plan's share needs, and no more; a node leaves that set in the order of the return, its rank's last first.
+Who sees a different view errs by the nodes on which the two rankings differ, never by more than the share
+of one stand-in site, since each node only ever decides for itself."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+from lilacwalk.membership.messages import Health, State
+from lilacwalk.sites.judging import HERE, Judged, judge, Seen, Standing
+from lilacwalk.sites.planning import Plan, places, plan
+from lilacwalk.sites.returning import first_to_ramp, Look, Returning, Stage
+from lilacwalk.sites.shares import Place, rounded
+from lilacwalk.sites.terms import Sites
+
+ENOUGH = 0.5  # of a site's members ready: below this what it would get is more than it can carry
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    name: str
+    seen: Seen
+
+
+@dataclass(slots=True)
+class Standings:
+    sites: dict[str, Judged] = field(default_factory=dict)
+    plan: Plan | None = None
+    # lost site to the nodes that announce for it
+    stand_ins: dict[str, list[str]] = field(default_factory=dict)
+    mine: tuple[str, ...] = ()  # sites for which this node stands in
+
+
+def rank(site: str, name: str) -> bytes:
+    return blake2b(f"{site} {name}".encode(), digest_size=8).digest()
+
+
+class SitesMachine:
+    def __init__(self, orders: Sites, name: str, site: str, now: int) -> None:
+        self.orders, self.name, self.site = orders, name, site
+        self.returning = {each.name: Returning(each.name, orders.pace, now) for each in orders.site}
+        self.usual: dict[str, float] = {}  # exchanges a second of a site while it was whole
+        self.loads: dict[str, float] = {}  # its load then: what has to be carried when it is lost
+        self.standings = Standings()
+        self.changes: list[tuple[str, str, str]] = []  # site, stage, why
+
+    def reordered(self, orders: Sites, now: int) -> None:
+        before = self.returning
+        self.orders = orders
+        self.returning = {each.name: before.get(each.name) or Returning(each.name, orders.pace, now)
+                          for each in orders.site}
+
+    # The operator's orders, told to all through the view
+
+    def hold(self, site: str, until: int, now: int, drain: bool = False) -> bool:
+        found = self.returning.get(site)
+        if found is not None:
+            (found.drain if drain else found.hold)(until, now)
+        return found is not None
+
+    def release(self, site: str, now: int) -> bool:
+        found = self.returning.get(site)
+        if found is not None:
+            found.release(now)
+        return found is not None
+
+    # The view
+
+    def look(self, members: Iterable[Member], conclusion: str, now: int,
+             responses: Mapping[str, float] | None = None) -> Standings:
+        """`responses`: a site's response time over its usual, where it is known."""
+        rows = list(members)
+        judged = {each.name: judge(each.name, (row.seen for row in rows), conclusion,
+                                   self.usual.get(each.name, 0.0))
+                  for each in self.orders.site}
+        bears = self._bears(judged)
+        may = first_to_ramp(list(self.returning.values()), bears)
+        for name, returning in self.returning.items():
+            self._follow(returning, judged[name], name in may, now, (responses or {}).get(name, 0.0),
+                         conclusion)
+        self._learn(judged, rows)
+        self.standings = self._stand(judged, rows, conclusion)
+        return self.standings
+
+    def _follow(self, returning: Returning, seen: Judged, may: bool, now: int, response: float,
+                conclusion: str) -> None:
+        if seen.standing is Standing.UNCLEAR and (conclusion != "whole" or not seen.known):
+            return  # what is not known is no loss: nothing is moved, nothing is taken back
+        there = seen.standing in (Standing.PRESENT, Standing.BROWN_OUT)
+        ready = seen.known > 0 and seen.there and 1 - seen.lost_part >= ENOUGH
+        before = returning.stage
+        returning.look(Look(there, ready, response, seen.standing is Standing.BROWN_OUT), now, may)
+        if returning.stage is not before:
+            self.changes.append((returning.site, returning.stage.value, returning.why))
+
+    def _learn(self, judged: dict[str, Judged], rows: list[Member]) -> None:
+        for name, seen in judged.items():
+            if self.returning[name].stage is Stage.WHOLE and seen.standing is Standing.PRESENT:
+                finished = sum(row.seen.finished for row in rows if row.seen.site == name
+                               and row.seen.health in HERE)
+                self.usual[name] = max(finished, 0.98 * self.usual.get(name, 0.0))
+                self.loads[name] = max(seen.load, 0.98 * self.loads.get(name, 0.0))
+
+    def here(self, judged: dict[str, Judged]) -> dict[str, Place]:
+        """The sites as the view has them; what it has not told, as the file does."""
+        made = {}
+        for name, place in places(self.orders).items():
+            seen = judged[name]
+            cores = rounded(seen.cores) if seen.cores else place.cores
+            load = rounded(self.loads[name]) if self.loads.get(name) else place.load
+            made[name] = Place(name, cores, load, place.stand_ins)
+        return made
+
+    def away(self) -> dict[str, float]:
+        return {name: 1 - each.share for name, each in self.returning.items() if each.share < 1}
+
+    def _bears(self, judged: dict[str, Judged]) -> bool:
+        """Whether all that are not whole could be lost again, together."""
+        not_whole = [name for name, each in self.returning.items() if each.stage is not Stage.WHOLE]
+        if len(not_whole) < 2:
+            return True
+        return plan(self.orders, self.here(judged), {name: 1.0 for name in not_whole}).holds
+
+    def _stand(self, judged: dict[str, Judged], rows: list[Member], conclusion: str) -> Standings:
+        away = self.away()
+        if not away or conclusion != "whole":
+            return Standings(judged, None, {}, ())
+        here = self.here(judged)
+        made = plan(self.orders, here, away)
+        stand_ins: dict[str, list[str]] = {}
+        for lost in sorted(away):
+            for target, work in sorted(made.moved.of(lost).items()):
+                stand_ins.setdefault(lost, []).extend(self._nodes(lost, target, work, rows, here[target]))
+        mine = tuple(lost for lost, nodes in sorted(stand_ins.items()) if self.name in nodes)
+        return Standings(judged, made, stand_ins, mine)
+
+    @staticmethod
+    def _nodes(lost: str, target: str, work: float, rows: list[Member], place: Place) -> list[str]:
+        """As many of a stand-in's nodes as the work needs, by rank: each carries its part of the site's
+        room."""
+        ready = sorted((row for row in rows if row.seen.site == target and row.seen.health is Health.ALIVE
+                        and row.seen.state is State.READY), key=lambda row: rank(lost, row.name))
+        if not ready or work <= 0:
+            return []
+        each = max(1e-9, (place.cores - place.load) / len(ready))
+        return [row.name for row in ready[:max(1, math.ceil(work / each - 1e-9))]]
