--- a/lilacwalk/commands/fleet.py
+++ b/lilacwalk/commands/fleet.py
@@ -27,14 +27,14 @@
     """The view of the fleet that members keep: ask one, be one, play a drill."""
 
 
-def asked_of(own: str):
-    """The fleet block of a file. Ends the command with 2 where there is none."""
+def orders_at(own: str):
+    """A file with a fleet block. Ends the command with 2 where there is none."""
     from lilacwalk.operator.reading import CannotReadError, orders
     try:
         made = orders(own)
         if made is None or made.fleet is None:
             raise CannotReadError(f"{own}:1: file: expected a fleet block")
-        return made.fleet
+        return made
     except CannotReadError as error:
         print(error, file=sys.stderr)
         sys.exit(2)
@@ -42,7 +42,7 @@
 
 def told(own: str, question: str):
     from lilacwalk.wire.asking import ask
-    asked = asked_of(own)
+    asked = orders_at(own).fleet
     if asked.socket is None:
         print(f"{own}:1: fleet: expected socket in this block", file=sys.stderr)
         sys.exit(2)
@@ -150,7 +150,8 @@
     from lilacwalk.membership.answering import answering
     from lilacwalk.membership.host import FleetError, FleetHost
     start_logging(getattr(logging, log_level.upper()))
-    asked = asked_of(own)
+    made = orders_at(own)
+    asked, part, other = made.fleet, None, None
     if asked.name is None:
         print(f"{own}:1: fleet: expected name in this block", file=sys.stderr)
         sys.exit(2)
@@ -159,10 +160,19 @@
     signal.signal(signal.SIGINT, lambda *_: words.put(None))
     signal.signal(signal.SIGHUP, lambda *_: words.put("reload"))
     asking = None
+    if made.sites is not None:
+        from lilacwalk.lifecycle.sites import SitesPart
+        # what stands in for whom is told, in the log and by show
+        part = SitesPart(made.sites, lambda mine: None)
     try:
-        host = FleetHost(asked)
+        host = FleetHost(asked, on_look=part.look if part is not None else None)
+        if part is not None:
+            from functools import partial
+
+            from lilacwalk.lifecycle.sites import answer
+            other = partial(answer, host=host, part=part)
         if asked.socket is not None:
-            asking = answering(host, asked.socket)
+            asking = answering(host, asked.socket, other)
     except FleetError as error:
         print(f"lilacwalk: {error}", file=sys.stderr)
         sys.exit(2)
--- a/lilacwalk/sites/shares.py
+++ b/lilacwalk/sites/shares.py
@@ -66,6 +66,8 @@
     for _ in range(ROUNDS):
         asked: dict[tuple[str, str], float] = {}
         for source, work in waiting.items():
+            if work <= TINY:
+                continue
             open_ = [(target, weight(rooms[target], cost)) for target, cost in places[source].stand_ins
                      if rooms.get(target, 0.0) > TINY]
             total = sum(part for _, part in open_)
--- /dev/null
+++ b/tests/sites/conftest.py
@@ -0,0 +1,77 @@
+"""Parts for the stories of a site's loss: a file of three sites, members as a view holds them."""
+
+import pytest
+
+from lilacwalk.membership.messages import Health, State
+from lilacwalk.operator.reading import orders_of
+from lilacwalk.sites.judging import Seen
+from lilacwalk.sites.standing import Member
+
+SECOND = 10_000
+FILE = """sites {{
+    site recife {{
+        cores {cores}
+        load {load}
+        stand-in caruaru 5ms
+        stand-in natal 12ms
+        service 192.0.2.10/32
+    }}
+    site caruaru {{
+        cores 24
+        load 14
+        stand-in recife 5ms
+        stand-in natal 9ms
+    }}
+    site natal {{
+        cores 24
+        load 14
+        stand-in caruaru 9ms
+        stand-in recife 12ms
+    }}
+    shared index {index}
+    class swap-confirm {{
+        benefit 6
+        share 0.25
+        calls 1
+        effect mutating
+    }}
+    class stock-check {{
+        benefit 2
+        share 0.35
+    }}
+    class eligibility {{
+        share 0.4
+    }}
+    bear {bear}
+    headroom 0.1
+    least-share 0.2
+}}
+"""
+
+
+def text(**more):
+    return FILE.format(**({"cores": 24, "load": 14, "index": 10_000, "bear": "any-one"} | more))
+
+
+def orders(**more):
+    return orders_of(text(**more), "file").sites
+
+
+def member(name, site, health=Health.ALIVE, state=State.READY, load=0.6, finished=100, cores=6):
+    return Member(name, Seen(site, health, state, cores, load, finished))
+
+
+def rows(lost=(), states=None, count=4):
+    """Four members a site; those of the lost sites dead."""
+    return [member(f"{site[0]}{at}", site, Health.DEAD if site in lost else Health.ALIVE,
+                   (states or {}).get(site, State.READY))
+            for site in ("recife", "caruaru", "natal") for at in range(count)]
+
+
+@pytest.fixture
+def own_file(tmp_path):
+    def make(**more):
+        path = tmp_path / "own"
+        path.write_text(text(**more))
+        return str(path)
+    return make
--- /dev/null
+++ b/tests/sites/test_machines.py
@@ -0,0 +1,235 @@
+"""The return by stages, loss told from cut and brown-out, what may be taken over, and the node that stands
+in."""
+
+import pytest
+
+from lilacwalk.membership.messages import Health, State
+from lilacwalk.sites.asked import Asked, newest, put, read
+from lilacwalk.sites.judging import judge, may_take_over, Standing
+from lilacwalk.sites.returning import come_back_in, first_to_ramp, LEAST, Look, Returning, Stage
+from lilacwalk.sites.standing import SitesMachine
+from lilacwalk.sites.terms import Pace
+from tests.sites.conftest import member, orders, rows, SECOND
+
+PACE = Pace()
+WELL, GONE, SLOW = Look(True, True, 1.0), Look(False, False, 0.0), Look(True, True, 2.0)
+
+
+def looks(returning, look, time, now, may_ramp=True, until=None):
+    """Looks every 0.2 s; the time when it is over, or when a stage is reached."""
+    end = now + time
+    while now < end and returning.stage is not until:
+        now += 2_000
+        returning.look(look, now, may_ramp)
+    return now
+
+
+def lost(now=0):
+    made = Returning("recife", PACE, now)
+    made.look(GONE, now + 1)
+    return made
+
+
+def test_a_site_comes_back_by_stages_and_never_all_at_once():
+    made = lost()
+    shares, stages, now = [], [], 1
+    while made.stage is not Stage.WHOLE and now < 60 * SECOND:
+        now += 2_000
+        made.look(WELL, now)
+        if not shares or made.share != shares[-1]:
+            shares.append(made.share)
+        if not stages or made.stage is not stages[-1]:
+            stages.append(made.stage)
+    assert stages == [Stage.LOST, Stage.PROBING, Stage.TRICKLE, Stage.RAMP, Stage.WHOLE]
+    assert shares[1] == LEAST and all(b <= 1.5 * a + 1e-9 for a, b in zip(shares[1:], shares[2:],
+                                                                          strict=False))
+    assert now < 20 * SECOND
+
+
+def test_its_share_is_halved_at_once_when_its_response_time_does_not_hold():
+    made = lost()
+    now = looks(made, WELL, 60 * SECOND, 1, until=Stage.RAMP)
+    now = looks(made, WELL, 4 * SECOND, now)
+    before = made.share
+    made.look(SLOW, now + 1)
+    assert made.share == pytest.approx(before / 2)
+    looks(made, SLOW, 20 * SECOND, now)
+    assert made.stage is Stage.PROBING and made.share == 0.0
+
+
+def test_a_site_that_flaps_stays_away_longer_each_time_with_a_longest_time():
+    made, now, away = Returning("recife", PACE, 0), 0, []
+    for _ in range(12):
+        made.look(GONE, now)
+        gone = now
+        now = looks(made, WELL, 400 * SECOND, now, until=Stage.TRICKLE)
+        away.append(now - gone)
+    assert all(b >= a for a, b in zip(away, away[1:], strict=False)) and away[3] > 2 * away[0]
+    assert away[-1] <= PACE.longest + 2 * PACE.steady
+
+
+def test_after_a_long_calm_the_next_time_away_is_shorter_again():
+    made, now = lost(), 0
+    for _ in range(3):
+        now = looks(made, WELL, 400 * SECOND, now, until=Stage.TRICKLE)
+        made.look(GONE, now)
+    losses = made.losses
+    now = looks(made, WELL, 900 * SECOND, now, until=Stage.WHOLE)
+    looks(made, WELL, 1_000 * SECOND, now)
+    assert made.losses < losses
+
+
+def test_two_sites_do_not_ramp_at_once_where_the_room_does_not_bear_both():
+    one, other = lost(), Returning("natal", PACE, 0)
+    other.look(GONE, 1)
+    now = 1
+    for _ in range(300):
+        now += 2_000
+        may = first_to_ramp([one, other], bears_both=False)
+        assert len(may) <= 1
+        one.look(WELL, now, one.site in may)
+        other.look(WELL, now, other.site in may)
+        assert not (one.coming_back and other.coming_back)
+    assert one.stage is other.stage is Stage.WHOLE
+
+
+def test_the_operators_hold_stops_the_return_and_ends_by_itself():
+    made = lost()
+    now = looks(made, WELL, 60 * SECOND, 1, until=Stage.TRICKLE)
+    made.hold(now + 30 * SECOND, now)
+    now = looks(made, WELL, 20 * SECOND, now)
+    assert made.stage is Stage.HELD and made.share == 0
+    now = looks(made, WELL, 60 * SECOND, now, until=Stage.WHOLE)
+    assert made.stage is Stage.WHOLE
+
+
+def test_a_drain_moves_a_site_that_is_well_and_a_release_brings_it_back():
+    made = Returning("recife", PACE, 0)
+    made.hold(SECOND, 0)
+    assert made.share == 1.0  # a hold stops a return, and this site is whole
+    made.drain(600 * SECOND, 0)
+    assert made.share == 0.0
+    made.release(10)
+    assert looks(made, WELL, 60 * SECOND, 10, until=Stage.WHOLE) < 30 * SECOND
+
+
+def test_come_back_times_spread_over_the_rest_of_the_return():
+    times = sorted(come_back_in(0.0, at / 1_000, PACE) for at in range(1_000))
+    assert times[-1] > 6 * SECOND and times[0] < SECOND
+    seconds = [sum(SECOND * at <= time < SECOND * (at + 1) for time in times) for at in range(10)]
+    assert max(seconds) < 200  # no second gets a fifth of all
+
+
+# What is seen
+
+@pytest.mark.parametrize(("seen", "conclusion", "standing"), [
+    (rows(), "whole", Standing.PRESENT), (rows(["recife"]), "whole", Standing.LOST),
+    (rows(["recife"]), "minority", Standing.UNCLEAR), (rows(["recife"]), "unsure", Standing.UNCLEAR),
+    (rows(states={"recife": State.SICK}), "whole", Standing.BROWN_OUT),
+    (rows(states={"recife": State.LEAVING}), "whole", Standing.LEAVING), ([], "whole", Standing.UNCLEAR)])
+def test_loss_cut_and_brown_out_are_told_apart(seen, conclusion, standing):
+    assert judge("recife", (each.seen for each in seen), conclusion).standing is standing
+
+
+def test_a_site_that_is_three_times_slower_is_a_brown_out_and_an_idle_one_is_not():
+    slow = [member(f"r{at}", "recife", load=1.0, finished=33).seen for at in range(4)]
+    idle = [member(f"r{at}", "recife", load=0.1, finished=33).seen for at in range(4)]
+    assert judge("recife", slow, "whole", 400).standing is Standing.BROWN_OUT
+    assert judge("recife", idle, "whole", 400).standing is Standing.PRESENT
+
+
+@pytest.mark.parametrize(("effect", "before", "since", "may"), [
+    ("repeatable", True, 0, True), ("mutating", False, 0, True), ("mutating", True, 10**9, False),
+    ("deduplicated", True, 10, False), ("deduplicated", True, 1_001, True), ("deduplicated", False, 0, True)])
+def test_nothing_is_taken_over_whose_doing_twice_would_harm(effect, before, since, may):
+    assert may_take_over(effect, before, since, 1_000) is may
+
+
+# The living node
+
+def machines():
+    return {row.name: SitesMachine(orders(), row.name, row.seen.site, 0) for row in rows()}
+
+
+def look_all(made, seen, now, conclusion="whole"):
+    return {name: each.look(seen, conclusion, now) for name, each in made.items()}
+
+
+def test_all_nodes_name_the_same_stand_ins_and_no_more_than_are_needed():
+    made = machines()
+    look_all(made, rows(), 0)
+    found = look_all(made, rows(["recife"]), 2_000)
+    named = {tuple(each.stand_ins["recife"]) for each in found.values()}
+    assert len(named) == 1
+    (stand_ins,) = named
+    assert {name[0] for name in stand_ins} == {"c", "n"}
+    mine = {name for name, each in found.items() if each.mine == ("recife",)}
+    assert mine == set(stand_ins)
+
+
+def test_who_hears_no_more_than_half_takes_over_nothing():
+    made = machines()
+    look_all(made, rows(), 0)
+    for conclusion in ("minority", "alone", "unsure"):
+        found = look_all(made, rows(["recife", "caruaru"]), 2_000, conclusion)
+        assert all(each.mine == () and each.plan is None for each in found.values())
+
+
+def test_stand_ins_leave_by_rank_as_the_site_returns_and_none_is_left_at_the_end():
+    made = machines()
+    look_all(made, rows(), 0)
+    now, counts = 0, []
+    for at in range(400):
+        now += 2_000
+        found = look_all(made, rows(["recife"] if at < 10 else []), now)
+        counts.append(len(found["c0"].stand_ins.get("recife", [])))
+    peak = max(counts)
+    after = counts[counts.index(peak):]
+    assert all(b <= a for a, b in zip(after, after[1:], strict=False)) and after[-1] == 0
+    assert len(set(after)) > 2  # not all at the same second
+
+
+def test_a_view_that_differs_by_one_node_errs_by_that_node():
+    one, other = machines(), machines()
+    look_all(one, rows(), 0), look_all(other, rows(), 0)
+    seen = rows(["recife"])
+    without = [each for each in seen if each.name != "c1"]
+    first = set(look_all(one, seen, 2_000)["n0"].stand_ins["recife"])
+    second = set(look_all(other, without, 2_000)["n0"].stand_ins["recife"])
+    assert len(first ^ second) <= 2
+
+
+def test_in_a_fleet_of_one_site_nobody_stands_in():
+    from lilacwalk.operator.reading import orders_of
+    alone = orders_of("sites {\n site recife {\n cores 4\n load 2\n }\n}\n", "f").sites
+    made = SitesMachine(alone, "r0", "recife", 0)
+    made.look(rows()[:4], "whole", 0)
+    found = made.look(rows(["recife"])[:4], "whole", 2_000)
+    assert found.mine == () and found.stand_ins == {}
+
+
+# Orders of an operator, on the cards
+
+def test_the_newest_order_for_a_site_counts_and_ends_by_itself():
+    first, second = Asked("hold", "recife", 1_000, 61_000), Asked("release", "recife", 2_000, 62_000)
+    cards = [(str(first),), (str(second),), ("nonsense",), ("hold recife 1 99999999999",)]
+    assert newest(cards, 3_000) == {"recife": second}
+    assert newest(reversed(cards), 3_000) == {"recife": second} and newest(cards, 62_000) == {}
+    assert read(str(first)) == first
+
+
+def test_a_card_holds_a_bounded_number_of_orders_one_for_a_site():
+    texts = ()
+    for at in range(9):
+        texts = put(texts, Asked("hold", f"s{at}", at, 1_000), 10)
+    texts = put(texts, Asked("release", "s8", 20, 1_000), 10)
+    assert len(texts) == 4 and sum(" s8 " in each for each in texts) == 1
+
+
+def test_a_member_that_died_keeps_its_orders_until_they_end():
+    made = SitesMachine(orders(), "c0", "caruaru", 0)
+    made.look(rows(), "whole", 0)
+    assert made.hold("recife", 60 * SECOND, 0, drain=True) and not made.hold("olinda", 1, 0)
+    found = made.look([each if each.name != "r0" else member("r0", "recife", Health.DEAD) for each in rows()],
+                      "whole", 2_000)
+    assert found.stand_ins["recife"]
