A healed cut: the doubted are told themselves, not everybody of them

Cause: with 100 members the views were equal 11 to 15 intervals after a cut of 60 s had healed. Each side's deaths, told in the exchange of state, became suspicions spread by gossip: 100 claims to be told 14 times each by every member, at some 24 a datagram.

Change: a death of an exchange, of a member that is alive here, is told to that member alone, which refutes it; at most 64 an interval.

--- a/lilacwalk/membership/membership.py
+++ b/lilacwalk/membership/membership.py
@@ -33,6 +33,7 @@
 ERRANDS = 64  # pings for others at once
 PIECES_LEFT = 256  # pieces told in one interval: to 250 newcomers of a small fleet, or 4 of a large one
 STRANGERS = 16  # of them asked for their rows in one interval: the others speak again, and gossip tells them
+NOTICES = 64  # members told in one interval that others hold them dead
 DIFFERS = 3  # intervals that another's digest may differ before its rows are asked for: most such times pass
 SETTLE_SENDERS = 4  # whose digests must be as ours
 FIGURES_EVERY = 10  # probe intervals between two tellings of figures that changed; more in a large fleet
@@ -93,7 +94,8 @@
         self.digests: dict[str, tuple[int, int]] = {}  # by sender: its digest, and when
         self.differs_since: dict[str, int] = {}
         self.asked_sync = now - DIFFERS * orders.interval
-        self.pieces_left, self.strangers_left, self.budget_until = PIECES_LEFT, STRANGERS, now
+        self.pieces_left, self.strangers_left, self.notices_left = PIECES_LEFT, STRANGERS, NOTICES
+        self.budget_until = now
         self.next_lost = self.next_forget = now
         self.last_loss = now
         self.figures_at = now
@@ -414,8 +416,13 @@
         if settle and told.health is Health.DEAD and member is not None and member.health is Health.ALIVE \
                 and told.rank[:2] == member.rank[:2]:
             # Both sides of a healed cut hold the other dead. Taken at its word, each would give up its own
-            # side: so it is a doubt, which the doubted can refute.
-            told = replace_by(told, told.by, Health.SUSPECT)
+            # side; as a suspicion, it would be told to all for each of them. So only the member itself is
+            # told, and refutes it; should it be dead, our own probes find out.
+            self._budget(now)
+            if self.notices_left > 0:
+                self.notices_left -= 1
+                self._send(member.address, What.PING, self.probing.numbered(), first=(told,))
+            return
         change = self.view.claim(told, now)
         if change is None:
             return
@@ -598,7 +605,7 @@
     def _budget(self, now: int) -> None:
         """What strangers and askers may cost in one interval, however many they are."""
         if now >= self.budget_until:
-            self.pieces_left, self.strangers_left = PIECES_LEFT, STRANGERS
+            self.pieces_left, self.strangers_left, self.notices_left = PIECES_LEFT, STRANGERS, NOTICES
             self.budget_until = now + self.interval
 
     def _tell_rows(self, told: Datagram, back: tuple[str, int], now: int) -> None:
