A site's loss between real processes: six stories, and a measurement with and without the plan

Need: the plan is proven only by several processes of the program with faults between them.

Change: stories of a loss, the return node by node, a site cut off but serving, an operator's drain, a flapping site, and of a fleet without the block; benchmarks/site_loss.py.

--- /dev/null
+++ b/benchmarks/site_loss.py
@@ -0,0 +1,90 @@
+"""A site of three is lost and comes back: benefit that users got, second by second, with the plan and without.
+
+    python -m benchmarks.site_loss [--load 0.75 …] [--seeds N]
+
+Real app servers, four a site, with stand-in kernels and users who follow announcements half a second late
+(`standins/outage.py`). Lost in the 10th second, back in the 25th, watched to the 55th."""
+
+from __future__ import annotations
+
+import sys
+import time
+
+from benchmarks.table import Table
+from lilacwalk.standins.outage import Outage, SITES
+
+LOST, BACK, END = 10, 25, 55
+
+
+def play(load: float, plan: bool, seed: int) -> dict:
+    made = Outage(plan=plan, load=load, seed=seed)
+    try:
+        made.start()
+        until(made, LOST)
+        made.lose("recife")
+        until(made, BACK)
+        made.bring_back("recife")
+        until(made, END)
+        whole, home, others = (made.shares(sites) for sites in (SITES, SITES[:1], SITES[1:]))
+        refused: dict[str, int] = {}
+        offered: dict[str, int] = {}
+        unanswered = 0
+        for site in SITES:
+            for at in range(LOST + 3, BACK):
+                row = made.seconds[site].get(at)
+                if row is None:
+                    continue
+                for group, count in row.offered.items():
+                    offered[group] = offered.get(group, 0) + count
+                    refused[group] = refused.get(group, 0) + row.denied[group]
+                unanswered += sum(row.other.values())
+        return {"whole": whole, "lost site": home, "stand-ins": others, "twice": made.twice(),
+                "refused": {group: refused[group] / count for group, count in offered.items()},
+                "unanswered": unanswered / max(1, sum(offered.values()))}
+    finally:
+        made.end()
+
+
+def until(made: Outage, second: float) -> None:
+    while made.now < second:
+        time.sleep(0.02)
+
+
+def mean(values: list[float]) -> float:
+    return sum(values) / len(values)
+
+
+def row(load: float, plan: bool, found: dict) -> tuple:
+    whole, others = found["whole"], found["stand-ins"]
+    before = mean(whole[3:LOST])
+    again = next((at - LOST for at in range(LOST, END - 1) if whole[at] >= 0.95 * before), -1)
+    worst = min(mean(whole[at:at + 10]) for at in range(LOST, BACK))
+    after = mean(whole[BACK - 5:BACK])
+    dip = max(0.0, after - min(whole[BACK:BACK + 20]))
+    groups = found["refused"]
+    return (f"{load:.0%}", "plan" if plan else "none", before, again if again >= 0 else "never", worst,
+            mean(whole[LOST + 5:BACK]), mean(found["lost site"][LOST + 5:BACK]), mean(others[LOST + 5:BACK]),
+            dip, " ".join(f"{group} {groups[group]:.2f}" for group in sorted(groups)), found["unanswered"],
+            found["twice"])
+
+
+def main() -> None:
+    loads = [float(word) for word in sys.argv[1:] if not word.startswith("-")] or [0.5, 0.75, 0.95]
+    rows, series = [], []
+    for load in loads:
+        for plan in (True, False):
+            found = play(load, plan, 1)
+            rows.append(row(load, plan, found))
+            print(rows[-1], flush=True)
+            series.append((f"{load:.0%} {'plan' if plan else 'none'}",
+                           " ".join(f"{share:.2f}" for share in found["whole"])))
+    table = Table("site-loss")
+    table.rows("a site of three lost for 15 s: benefit got over benefit wanted", (
+        "load", "plan", "before", "seconds to 0.95 of it", "worst 10 s", "while lost", "its users", "others",
+        "second dip", "refused, by class", "no answer", "twice"), rows)
+    table.rows("the whole, second by second (lost in the 10th, back in the 25th)", ("play", "shares"), series)
+    table.write()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/sites/test_processes.py
@@ -0,0 +1,121 @@
+"""Three sites of real app servers with kernels, announcements, users who follow them; and a site's loss."""
+
+import time
+
+import pytest
+
+from lilacwalk.bgp.prefixes import Prefix
+from lilacwalk.standins.outage import Outage, service, SITES
+from lilacwalk.wire.asking import ask
+
+SOON = 20.0  # seconds: a failure, never a wait
+
+
+@pytest.fixture
+def outage():
+    made = []
+
+    def make(**more):
+        asked = {"nodes": 2, "work": 0.02, "load": 0.4, "interval_ms": 100, "late": 0.1}
+        made.append(Outage(**(asked | more)))
+        made[-1].start()
+        return made[-1]
+    yield make
+    for each in made:
+        each.end()
+
+
+def stand_ins(outage, site):
+    """The nodes of other sites that announce its service."""
+    prefix = Prefix.of(service(site))
+    return {name for name, router in outage.routers.items() if prefix in router.held and name[0] != site[0]}
+
+
+def own(outage, site):
+    prefix = Prefix.of(service(site))
+    return {name for name, router in outage.routers.items() if prefix in router.held and name[0] == site[0]}
+
+
+def shown(outage, name):
+    return ask(outage.rig.processes[name].socket, "sites")
+
+
+def stage(outage, name, site):
+    return {each["site"]: each["stage"] for each in shown(outage, name)["sites"]}[site]
+
+
+def test_a_lost_sites_users_are_served_by_stand_ins_and_go_home_when_it_is_back(outage):
+    made = outage()
+    made.lose("recife")
+    made.rig.wait(lambda: stand_ins(made, "recife"), SOON, "somebody stands in")
+    from_now = int(made.now) + 2
+    made.rig.wait(lambda: made.now > from_now + 2, SOON, "two whole seconds")
+    row = made.seconds["recife"][from_now]
+    assert sum(row.completed.values()) > 0.8 * sum(row.offered.values())
+    made.bring_back("recife")
+    made.rig.wait(lambda: len(own(made, "recife")) == 2 and not stand_ins(made, "recife"), SOON, "home again")
+    made.rig.wait(lambda: stage(made, "c0", "recife") == "whole", SOON, "whole")
+    assert made.twice() == 0
+
+
+def test_a_returning_site_announces_one_node_first_and_all_only_when_it_is_whole(outage):
+    made = outage()
+    made.lose("recife")
+    made.rig.wait(lambda: stand_ins(made, "recife"), SOON, "somebody stands in")
+    made.bring_back("recife")
+    seen = []
+
+    def home():
+        counts = len(own(made, "recife"))
+        if not seen or seen[-1] != counts:
+            seen.append(counts)
+        return counts == 2 and stage(made, "c0", "recife") == "whole"
+    made.rig.wait(home, SOON, "whole")
+    assert seen[:3] == [0, 1, 2]
+
+
+def test_a_site_that_is_cut_off_from_the_others_serves_its_users_and_takes_over_nothing(outage):
+    """Only the view's datagrams are cut: users and announcements come through, as behind another link."""
+    made = outage()
+    recife = [name for name in made.rig.processes if name[0] == "r"]
+    others = [name for name in made.rig.processes if name[0] != "r"]
+    made.rig.cut(recife, others)
+    made.rig.wait(lambda: all(made.rig.show(name)["conclusion"] in ("minority", "alone") for name in recife),
+                  SOON, "it knows which side it is")
+    made.rig.wait(lambda: stage(made, "c0", "recife") == "lost", SOON, "the others hold it lost")
+    assert all(shown(made, name)["stands_in_for"] == [] for name in recife)
+    assert own(made, "recife") == set(recife)  # wanted more than any stand-in: its users stay
+    at = int(made.now) + 1
+    made.rig.wait(lambda: made.now > at + 2, SOON, "whole seconds in the cut")
+    row = made.seconds["recife"][at]
+    assert sum(row.completed.values()) > 0.9 * sum(row.offered.values()) and made.twice() == 0
+
+
+def test_an_operator_drains_a_site_that_is_well_and_releases_it(outage):
+    made = outage()
+    ask(made.rig.processes["n0"].socket, "sites drain recife 300")
+    made.rig.wait(lambda: stand_ins(made, "recife") and not own(made, "recife"), SOON, "moved away")
+    assert stage(made, "r0", "recife") == stage(made, "c1", "recife") == "held"
+    ask(made.rig.processes["c1"].socket, "sites release recife 60")
+    made.rig.wait(lambda: len(own(made, "recife")) == 2 and not stand_ins(made, "recife"), SOON, "home again")
+
+
+def test_a_site_lost_back_and_lost_again_stays_away_longer(outage):
+    made = outage()
+    away = []
+    for _ in range(2):
+        made.lose("recife")
+        made.rig.wait(lambda: stage(made, "c0", "recife") == "lost", SOON, "lost")
+        began = time.monotonic()
+        made.bring_back("recife")
+        made.rig.wait(lambda: stage(made, "c0", "recife") not in ("lost", "probing"), SOON, "taken back")
+        away.append(time.monotonic() - began)
+    assert away[1] > away[0] + 0.5
+
+
+def test_without_the_block_a_loss_moves_nothing(outage):
+    made = outage(plan=False)
+    made.lose("recife")
+    made.rig.wait(lambda: set(made.rig.healths("r0").values()) == {"dead"}, SOON, "known")
+    assert "error" in shown(made, "c0")
+    assert not stand_ins(made, "recife") and {site for site in SITES if own(made, site)} == set(SITES[1:])
