--- a/benchmarks/site_loss.py
+++ b/benchmarks/site_loss.py
@@ -1,4 +1,4 @@
-"""A site of three is lost and comes back: benefit that users got, second by second, with the plan and without.
+"""A site of three is lost and comes back: what users got, second by second, with the plan and without.
 
     python -m benchmarks.site_loss [--load 0.75 …] [--seeds N]
 
--- a/lilacwalk/membership/membership.py
+++ b/lilacwalk/membership/membership.py
@@ -380,10 +380,12 @@
         self._warn(now)
 
     def _warn(self, now: int) -> None:
-        """Whom this node suspects is told so in each interval, by us who do: a doubt that the doubted has not
-        heard of proves nothing."""
-        ours = [each.name for each in self.suspicions.values() if self.name in each.by]
-        for name in self.rng.sample(sorted(ours), min(len(ours), HELPERS)):
+        """Whom this node suspects is told so in each interval: a doubt that the doubted has not heard of
+        proves nothing. And who only heard of a suspicion looks for itself before it would be over: the
+        doubted may have refuted it long ago, and gossip of that be through."""
+        pressing = [each.name for each in self.suspicions.values()
+                    if self.name in each.by or 2 * now >= each.since + each.until]
+        for name in self.rng.sample(sorted(pressing), min(len(pressing), HELPERS)):
             member = self.view.members[name]
             if not self.probing.under_way(name):
                 self.ping(member, now, out_of_turn=True)
