As many nodes stand in as keep each within a tenth of its site's mean

Cause: at 50% load 11% of the cheapest class was refused while a site was lost, though the two others then carry 75%: the chosen stand-in nodes were as few as their spare cores allow, so each of those ran full (standing._nodes).

Change: a stand-in node may be a tenth busier than its site would be if all shared evenly.

--- a/lilacwalk/sites/standing.py
+++ b/lilacwalk/sites/standing.py
@@ -20,6 +20,7 @@
 from lilacwalk.sites.shares import Place, rounded
 from lilacwalk.sites.terms import Sites
 
+MARGIN = 1.1  # of the site's mean that a stand-in node may carry: a tenth busier is no queue yet
 LEARN = 0.05  # of a look five times a second: a mean over some four seconds, far shorter than a day's curve
 ENOUGH = 0.5  # of a site's members ready: below this what it would get is more than it can carry
 
@@ -208,5 +209,8 @@
                         and row.seen.state is State.READY), key=lambda row: rank(lost, row.name))
         if not ready or work <= 0:
             return []
-        each = max(1e-9, (place.cores - place.load) / len(ready))
+        # A node's own share of the site's load stays with it: what it may take on top is what brings it to
+        # little more than all would carry if they shared evenly. Filled to the brim, it refuses half of it.
+        evenly = (place.load + work) / place.cores if place.cores else 1.0
+        each = max(1e-9, (min(1.0, MARGIN * evenly) * place.cores - place.load) / len(ready))
         return [row.name for row in ready[:max(1, math.ceil(work / each - 1e-9))]]
