--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -22,7 +22,7 @@
 
 SECOND = 10_000
 SITES = ("recife", "natal", "caruaru")
-PROCESSES = 3  # of this measurement at once
+PROCESSES = 6  # of this measurement at once
 
 
 class Plain(Membership):
