A site's whole link can be cut in the rig; how many suspicions are usual is told

Need: a link that breaks takes datagrams and BGP sessions alike, and many suspicions at once have one cause.

Change: Stream in the switch carries each node's BGP session and can be cut; a story with a whole site behind it; suspicions of the last ten intervals beside the usual number, in fleet show and in the event of a cut.

--- a/lilacwalk/membership/answering.py
+++ b/lilacwalk/membership/answering.py
@@ -20,6 +20,7 @@
         "conclusion": conclusion.word, "reason": conclusion.reason, "settled": machine.settled(now),
         "digest": f"{machine.view.digest:016x}", "present": figures.present, "suspects": figures.suspects,
         "lost": figures.lost, "left": figures.left, "leaving": len(machine.view.leaving()),
+        "suspicions": dict(zip(("recent", "usual"), machine.suspicion_rate(now), strict=True)),
         "awareness": machine.probing.awareness, "store": store,
         "counts": dict(sorted(machine.counts.items())),
         "members": [row(each, machine, now) for each in members]}
--- a/lilacwalk/membership/membership.py
+++ b/lilacwalk/membership/membership.py
@@ -101,6 +101,7 @@
         self.figures_at = now
         self.figures: Card | None = None  # changed, and not told yet
         self.remembered = {each.name: each for each in remembered if each.card is not None}
+        self.suspected_at: deque[int] = deque(maxlen=256)  # suspicions that were news here
         self.over = False
         self.view.claim(self.own(), now)
 
@@ -155,6 +156,14 @@
                 for each in self.view.present if each.card]
         return may_withdraw(self.name, rows, self.orders.share, sure)
 
+    def suspicion_rate(self, now: int) -> tuple[int, float]:
+        """In the last ten intervals, and how many ten intervals usually see: far more at once have one
+        cause."""
+        span = 10 * self.interval
+        recent = sum(now - at <= span for at in self.suspected_at)
+        before = max(span, now - self.began - span)
+        return recent, max(0, self.counts["suspect"] - recent) * span / before
+
     def due(self) -> int:
         times = [self.probing.wanted(), self.next_forget]
         times += [each.until for each in self.suspicions.values()]
@@ -443,6 +452,8 @@
 
     def _note(self, change: Change, member: Member, told: Rumour, now: int, why: str, sender: str) -> None:
         self.counts[change.value] += 1
+        if change is Change.SUSPECT:
+            self.suspected_at.append(now)
         held = self.suspicions.get(member.name)
         if member.health is Health.SUSPECT:
             if held is None or held.rank[:3] != member.rank[:3]:
@@ -473,7 +484,9 @@
                 first = not any(other.cut for other in lost if other.card and other.card.site == site)
                 each.cut = True
                 if first:
-                    self._event(now, "cut", site, f"{found[site]} lost at once", self.name)
+                    recent, usual = self.suspicion_rate(now)
+                    why = f"{found[site]} lost at once; {recent} suspicions in ten intervals, not {usual:.1f}"
+                    self._event(now, "cut", site, why, self.name)
 
     def _of_us(self, told: Rumour, now: int) -> None:
         step = self.naming.told(told)
--- a/lilacwalk/standins/outage.py
+++ b/lilacwalk/standins/outage.py
@@ -14,9 +14,10 @@
 from dataclasses import dataclass, field
 
 from lilacwalk.bgp.prefixes import Prefix
-from lilacwalk.standins.bgp_router import BgpRouter
+from lilacwalk.standins.bgp_router import BgpRouter, Habits
 from lilacwalk.standins.fleet import Process, Rig
 from lilacwalk.standins.kernel import Kernel
+from lilacwalk.standins.switch import Stream
 from lilacwalk.standins.till import Till
 
 SITES = ("recife", "caruaru", "natal")
@@ -70,6 +71,7 @@
         self.rate = {site: load * nodes / work for site in SITES}
         self.rig = Rig(seed, interval_ms, "serve")
         self.routers: dict[str, BgpRouter] = {}
+        self.streams: dict[str, Stream] = {}  # what each node's BGP session goes through
         self.tills: dict[str, Till] = {}
         self.seconds: dict[str, dict[int, Second]] = {site: {} for site in SITES}
         self.going: deque[Going] = deque()
@@ -80,9 +82,10 @@
         for site in SITES:
             for at in range(nodes):
                 name = f"{site[0]}{at}"
-                router = self.routers[name] = BgpRouter()
+                router = self.routers[name] = BgpRouter(Habits(hold=3))
+                self.streams[name] = Stream(router.address)
                 self.rig.add(name, site, (names[0], names[nodes]), self._blocks(
-                    name, site, router, plan, load if plan_load is None else plan_load))
+                    site, self.streams[name], plan, load if plan_load is None else plan_load))
                 process = self.rig.processes[name]
                 process.kernel = self._kernel()
                 process.cpus = 1
@@ -90,11 +93,11 @@
     def _kernel(self) -> Kernel:
         return Kernel(1, lambda group, body: self.work)
 
-    def _blocks(self, name: str, site: str, router: BgpRouter, plan: bool, load: float) -> str:
-        peer = "{}:{}".format(*router.address)
+    def _blocks(self, site: str, stream: Stream, plan: bool, load: float) -> str:
+        peer = "{}:{}".format(*stream.address)
         text = (f"announce {{\n    as 65010\n    router-id 127.0.0.1\n    next-hop 127.0.0.1\n"
-                f"    ready-for 100ms\n    service {service(site)}\n    peer {peer} {{\n        as 65020\n"
-                f"        connect-retry 100ms\n    }}\n}}\n")
+                f"    ready-for 100ms\n    hold-time 3s\n    service {service(site)}\n    peer {peer} {{\n"
+                f"        as 65020\n        connect-retry 100ms\n    }}\n}}\n")
         if not plan:
             return text
         blocks = "\n".join(
@@ -122,6 +125,16 @@
             self.rig.processes[name].kernel.end()
             self.tills.pop(name, None)
 
+    def cut_off(self, site: str, cut: bool = True) -> None:
+        """Its link to the others and to the routers breaks, or is whole again. Its processes go on."""
+        names = [name for name, each in self.rig.processes.items() if each.site == site]
+        if cut:
+            self.rig.cut(names, [name for name in self.rig.processes if name not in names])
+        else:
+            self.rig.heal()
+        for name in names:
+            self.streams[name].cut(cut)
+
     def bring_back(self, site: str) -> None:
         names = [name for name, each in self.rig.processes.items() if each.site == site]
         for name in names:
@@ -134,8 +147,8 @@
         for till in list(self.tills.values()):
             till.end()
         self.rig.end()
-        for router in self.routers.values():
-            router.end()
+        for each in (*self.streams.values(), *self.routers.values()):
+            each.end()
 
     @property
     def now(self) -> float:
--- a/lilacwalk/standins/switch.py
+++ b/lilacwalk/standins/switch.py
@@ -38,6 +38,66 @@
     faults: Faults = field(default_factory=Faults)  # of all that it sends and is sent
 
 
+class Stream:
+    """One member's connections to one party (a BGP peer), carried on here; while cut they stay open and
+    nothing comes through, as when a link breaks: what was under way is carried on when it is whole again."""
+
+    def __init__(self, to: tuple[str, int]) -> None:
+        self.to = to
+        self.whole = threading.Event()
+        self.whole.set()
+        self.over = False
+        self.socks: list[socket.socket] = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = self.listener.getsockname()
+        threading.Thread(target=self._accept, name="switch-stream", daemon=True).start()
+
+    def cut(self, cut: bool = True) -> None:
+        if cut:
+            self.whole.clear()
+        else:
+            self.whole.set()
+
+    def end(self) -> None:
+        self.over = True
+        self.whole.set()
+        for sock in [self.listener, *self.socks]:
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+            sock.close()
+
+    def _accept(self) -> None:
+        while not self.over:
+            try:
+                near, _ = self.listener.accept()
+                self.whole.wait()  # a connection that is begun in a cut opens when it is over
+                far = socket.create_connection(self.to, 2.0)
+            except OSError:
+                if self.over:
+                    return
+                continue
+            far.settimeout(None)
+            self.socks += [near, far]
+            for one, other in ((near, far), (far, near)):
+                threading.Thread(target=self._pump, args=(one, other), daemon=True).start()
+
+    def _pump(self, one: socket.socket, other: socket.socket) -> None:
+        try:
+            while data := one.recv(READ):
+                self.whole.wait()
+                other.sendall(data)
+        except OSError:
+            pass
+        self.whole.wait()  # nor does an end come through
+        for sock in (one, other):
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
 class Switch:
     def __init__(self, seed: int) -> None:
         self.rng = random.Random(seed)
--- a/tests/sites/test_processes.py
+++ b/tests/sites/test_processes.py
@@ -91,6 +91,18 @@
     assert sum(row.completed.values()) > 0.9 * sum(row.offered.values()) and made.twice() == 0
 
 
+def test_a_site_whose_link_breaks_altogether_is_stood_in_for_and_goes_home_when_it_is_whole(outage):
+    """Datagrams and BGP sessions stop. The stand-in routers know no hold time: they keep its routes."""
+    made = outage()
+    made.cut_off("recife")
+    made.rig.wait(lambda: stand_ins(made, "recife"), SOON, "stood in for")
+    assert all(shown(made, name)["stands_in_for"] == [] for name in made.rig.processes if name[0] == "r")
+    made.cut_off("recife", False)
+    made.rig.wait(lambda: len(own(made, "recife")) == 2 and not stand_ins(made, "recife"), SOON, "home again")
+    made.rig.wait(lambda: stage(made, "c0", "recife") == "whole", SOON, "whole")
+    assert made.twice() == 0
+
+
 def test_an_operator_drains_a_site_that_is_well_and_releases_it(outage):
     made = outage()
     ask(made.rig.processes["n0"].socket, "sites drain recife 300")
