--- a/benchmarks/fleet_server.py
+++ b/benchmarks/fleet_server.py
@@ -60,7 +60,9 @@
                 if members == 1:
                     rig.write = lambda each: each.file.write_text("")  # type: ignore[method-assign]
                     rig.start("n0", wait=False)
-                    rig.wait(lambda rig=rig: "event=kernel_up" in rig.log("n0"), 15, "up")
+                    log = rig.processes["n0"].place / "log"
+                    rig.wait(lambda rig=rig, log=log: log.exists() and "event=kernel_up" in rig.log("n0"), 15,
+                             "up")
                 else:
                     rig.start(*rig.processes)
                     rig.wait(rig.settled, 40, "settled")
