One way to ask the running program; the view's conclusion is drawn once a pass

Cause: commands/fleet.py asked the socket and told its errors as commands/bgp.py did, with the same options beside it in three files; the view's host drew the same conclusion twice in a pass, and its user twice more.

Change: options.answered, running_file and as_json serve bgp, fleet and sites; host hands the conclusion on. A garbled answer now ends bgp's commands as it ended fleet's, with 2 and a line.

--- a/lilacwalk/commands/bgp.py
+++ b/lilacwalk/commands/bgp.py
@@ -6,6 +6,8 @@
 
 import click
 
+from lilacwalk.commands.options import answered, as_json, running_file
+
 
 @click.group()
 def bgp() -> None:
@@ -15,28 +17,14 @@
 def told(own: str, question: str) -> object:
     """The running program's answer. Ends the command with 2 where there is none."""
     from lilacwalk.operator.reading import CannotReadError, orders
-    from lilacwalk.wire.asking import ask
     try:
         made = orders(own)
         if made is None or made.announce is None or made.announce.socket is None:
             raise CannotReadError(f"{own}:1: file: expected an announce block with a socket")
-        found = ask(made.announce.socket, question)
     except CannotReadError as error:
         print(error, file=sys.stderr)
         sys.exit(2)
-    except OSError as error:
-        print(f"lilacwalk: nobody answers at {made.announce.socket}: {error.strerror or error}",
-              file=sys.stderr)
-        sys.exit(2)
-    if isinstance(found, dict) and "error" in found:
-        print(f"lilacwalk: {found['error']}", file=sys.stderr)
-        sys.exit(2)
-    return found
-
-
-file_option = click.option("--file", "own", metavar="FILE", required=True, type=click.Path(dir_okay=False),
-                           help="the operator's own file of the running program")
-json_option = click.option("--json", "as_json", is_flag=True, help="the whole answer as JSON")
+    return answered(made.announce.socket, question)
 
 
 def row(**pairs: object) -> str:
@@ -44,8 +32,8 @@
 
 
 @bgp.command()
-@file_option
-@json_option
+@running_file
+@as_json
 def show(own: str, as_json: bool) -> None:
     """Sessions, what is announced and why, what was received, damping."""
     found = told(own, "show")
@@ -68,7 +56,7 @@
 
 
 @bgp.command()
-@file_option
+@running_file
 @click.argument("peer")
 def received(own: str, peer: str) -> None:
     """What a peer (its address and port, as the file has them) has told, and why it is not used."""
@@ -78,7 +66,7 @@
 
 
 @bgp.command()
-@file_option
+@running_file
 @click.argument("prefix")
 def route(own: str, prefix: str) -> None:
     """Which peers have a usable route for a prefix."""
--- a/lilacwalk/commands/fleet.py
+++ b/lilacwalk/commands/fleet.py
@@ -10,17 +10,13 @@
 
 import click
 
-from lilacwalk.commands.options import log_level
+from lilacwalk.commands.options import answered, as_json, log_level, running_file
 from lilacwalk.log import start_logging, Tally
 
 log = logging.getLogger(__name__)
 LONGEST_LINE = 256  # characters: the longest state has 14
 COLUMNS = ("name", "site", "address", "health", "state", "age_ms", "life", "by")
 
-file_option = click.option("--file", "own", metavar="FILE", required=True, type=click.Path(dir_okay=False),
-                           help="the operator's own file of the running program")
-json_option = click.option("--json", "as_json", is_flag=True, help="the whole answer as JSON")
-
 
 @click.group()
 def fleet() -> None:
@@ -41,21 +37,11 @@
 
 
 def told(own: str, question: str):
-    from lilacwalk.wire.asking import ask
     asked = orders_at(own).fleet
     if asked.socket is None:
         print(f"{own}:1: fleet: expected socket in this block", file=sys.stderr)
         sys.exit(2)
-    try:
-        found = ask(asked.socket, question)
-    except (OSError, ValueError) as error:
-        print(f"lilacwalk: nobody answers at {asked.socket}: {getattr(error, 'strerror', None) or error}",
-              file=sys.stderr)
-        sys.exit(2)
-    if isinstance(found, dict) and "error" in found:
-        print(f"lilacwalk: {found['error']}", file=sys.stderr)
-        sys.exit(2)
-    return found
+    return answered(asked.socket, question)
 
 
 def table(rows: list[dict], columns: tuple[str, ...]) -> str:
@@ -72,8 +58,8 @@
 
 
 @fleet.command()
-@file_option
-@json_option
+@running_file
+@as_json
 def show(own: str, as_json: bool) -> None:
     """Members with state, life, age of what is known and who said so; what this node concludes."""
     found = told(own, "show")
@@ -86,7 +72,7 @@
 
 
 @fleet.command()
-@file_option
+@running_file
 @click.option("--every", default=1.0, show_default=True, help="seconds between two looks")
 @click.option("--times", default=0, help="looks, then the end; 0: until Ctrl-C")
 def watch(own: str, every: float, times: int) -> None:
@@ -115,8 +101,8 @@
 
 
 @fleet.command()
-@file_option
-@json_option
+@running_file
+@as_json
 def events(own: str, as_json: bool) -> None:
     """The last changes, with their cause and who said so."""
     found = told(own, "events")
@@ -130,7 +116,7 @@
 
 
 @fleet.command()
-@file_option
+@running_file
 @click.argument("member")
 def ping(own: str, member: str) -> None:
     """Probe MEMBER now, from the running node; exit 4 where it does not answer within a probe interval."""
@@ -140,7 +126,7 @@
 
 
 @fleet.command()
-@file_option
+@running_file
 @log_level
 def run(own: str, log_level: str) -> None:
     """Be a member beside any other program.
--- a/lilacwalk/commands/sites.py
+++ b/lilacwalk/commands/sites.py
@@ -7,9 +7,7 @@
 
 import click
 
-file_option = click.option("--file", "own", metavar="FILE", required=True, type=click.Path(dir_okay=False),
-                           help="the operator's own file, with a sites block")
-json_option = click.option("--json", "as_json", is_flag=True, help="the whole answer as JSON")
+from lilacwalk.commands.options import as_json, running_file
 
 
 @click.group()
@@ -69,13 +67,13 @@
 
 
 @sites.command()
-@file_option
+@running_file
 @click.option("--lose", multiple=True, metavar="SITE[:PART]", help="several times: lost together")
 @click.option("--load", "capture", type=click.Path(exists=True, dir_okay=False),
               help="lines of SITE LOAD instead of the file's loads")
 @click.option("--report", type=click.Path(file_okay=False),
               help="an HTML page with a chart, and Parquet, here")
-@json_option
+@as_json
 def plan(own: str, lose: tuple[str, ...], capture: str | None, report: str | None, as_json: bool) -> None:
     """For each loss: where its load goes, what is refused, what binds, whether it holds.
 
@@ -155,8 +153,8 @@
 
 
 @sites.command()
-@file_option
-@json_option
+@running_file
+@as_json
 def show(own: str, as_json: bool) -> None:
     """Stage of each site, its share, why, and what comes next, as the running node sees it."""
     print_shown(told(own, "sites"), as_json)
@@ -172,7 +170,7 @@
 
 
 @sites.command()
-@file_option
+@running_file
 @click.argument("site")
 @seconds_option
 def drain(own: str, site: str, seconds: int) -> None:
@@ -181,7 +179,7 @@
 
 
 @sites.command()
-@file_option
+@running_file
 @click.argument("site")
 @seconds_option
 def hold(own: str, site: str, seconds: int) -> None:
@@ -190,7 +188,7 @@
 
 
 @sites.command()
-@file_option
+@running_file
 @click.argument("site")
 def release(own: str, site: str) -> None:
     """Take back a drain or a hold of SITE."""
--- a/lilacwalk/lifecycle/fleet.py
+++ b/lilacwalk/lifecycle/fleet.py
@@ -83,10 +83,10 @@
             self.completed = 0
             self.denied.clear()
 
-    def _view(self, machine: Membership, now: int) -> None:
+    def _view(self, machine: Membership, word: str, may_go: bool) -> None:
         """In the view's thread."""
         self.leaving = sum(each.name != machine.name for each in machine.view.leaving())
-        self.on_floor(machine.may_withdraw(now), machine.conclusion(now).word)
+        self.on_floor(may_go, word)
 
     def end(self, patience: float) -> None:
         self.host.leave(patience)
--- a/lilacwalk/membership/host.py
+++ b/lilacwalk/membership/host.py
@@ -87,7 +87,7 @@
     """`on_view`: told in this part's own thread after each pass in which what others use may have changed."""
 
     def __init__(self, asked: Fleet, name: str = "",
-                 on_view: Callable[[Membership, int], None] | None = None,
+                 on_view: Callable[[Membership, str, bool], None] | None = None,
                  bounds: Bounds = Bounds(), clock: Callable[[], int] = time.monotonic_ns,
                  wall: Callable[[], float] = time.time, seed: int | None = None, revision: str = "",
                  on_look: Callable[[Membership, int], None] | None = None) -> None:
@@ -252,10 +252,11 @@
             self._log(event)
         self._keep(now)
         if self.on_view is not None:
-            view = machine.view.digest, machine.conclusion(now).word, machine.may_withdraw(now)
+            word = machine.conclusion(now).word
+            view = machine.view.digest, word, machine.may_withdraw(now, word)
             if view != self.last_view:
                 self.last_view = view
-                self.on_view(machine, now)
+                self.on_view(machine, word, view[2])
 
     @staticmethod
     def _log(event: Event) -> None:
--- a/lilacwalk/membership/membership.py
+++ b/lilacwalk/membership/membership.py
@@ -150,8 +150,9 @@
             stood_still=now < self.doubt_until, yielded=self.naming.yielded_to is not None,
             agreeing=self.agreeing(now))
 
-    def may_withdraw(self, now: int) -> bool:
-        sure = self.conclusion(now).word == "whole" or len(self.view.known()) == 1
+    def may_withdraw(self, now: int, word: str = "") -> bool:
+        """`word`: the conclusion's, where it was asked for already."""
+        sure = (word or self.conclusion(now).word) == "whole" or len(self.view.known()) == 1
         rows = [(each.name, each.life, each.card.state, each.card.out)
                 for each in self.view.present if each.card]
         return may_withdraw(self.name, rows, self.orders.share, sure)
