--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -472,7 +472,7 @@
         heirs = [other for other in ex.followers if other.place is Place.HELD]
         if heirs:
             heirs[0].repeats, heirs[0].followers = None, heirs[1:]
-            for other in heirs[1:]:
+            for other in (ex, *heirs[1:]):  # `ex` too: a repeat of it that was read by now finds the heir
                 other.repeats = heirs[0]
             self._keep(heirs[0])
         if ex.kept and not heirs:
--- a/lilacwalk/lifecycle/answering.py
+++ b/lilacwalk/lifecycle/answering.py
@@ -128,7 +128,7 @@
         if first in host.hand.by_exchange:
             each.waits_for = first
             return
-        entry = host.kept.find(each.kept_as, host.now) if each.kept_as else None
+        entry = host.kept.find(each.kept_as, ex.arrived) if each.kept_as else None
         self.answer_joined(each, entry.result if entry is not None and entry.ex is first else None)
 
     def keep(self, ex: Exchange, time: int) -> None:
--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -213,10 +213,14 @@
         front = caller.front
         arrived = min(asked.arrived + self.clock.ahead, self.now)
         wait = group.async_timeout if asked.wait is None else asked.wait
-        name, earlier = self._earlier(group, asked)
-        full = len(self.hand) >= self.limits.in_hand or front.in_hand >= front.most
-        if self.controller is None or full or name and self.kept.full:
-            front.answered(caller, tag, Reply(Final.DENIED))  # no room, or nothing to run it on yet
+        name, earlier = self._earlier(group, asked, arrived)
+        full = (len(self.hand) >= self.limits.in_hand or front.in_hand >= front.most
+                or bool(name) and earlier is None and self.kept.full)
+        if self.controller is None or full:
+            front.answered(caller, tag, self._no_room(name, earlier, arrived))
+            return ""
+        if group.effect is Effect.DEDUPLICATED and earlier is None and arrived < self.kept.forgotten:
+            front.answered(caller, tag, Reply(Final.TERMINATED))  # read so late that it may be a repeat
             return ""
         if earlier is None and not self._may_begin(group):
             front.answered(caller, tag, Reply(Final.DENIED, come_back=self.server.come_back_max))
@@ -238,12 +242,25 @@
             caller=asked.caller, repeats=earlier)
         each = InHand(ex, asked.id, tag, caller, asked.group, bytes(asked.body), name)
         self.hand.take(each)
-        if name and group.effect is Effect.REPEATABLE and earlier is None:
-            self.kept.enter(name, ex, None)
+        if name and earlier is None:  # at once: a repeat may be read in this very pass
+            if group.effect is Effect.REPEATABLE:
+                self.kept.enter(name, ex, None)
+            elif group.effect is Effect.DEDUPLICATED:
+                self.kept.enter(name, ex, arrived + group.window)
         self.calls.append((self.controller.arrive, ex))
         return ""
 
-    def _earlier(self, group, asked: Asked) -> tuple[tuple | None, Exchange | None]:
+    def _no_room(self, name: tuple | None, earlier: Exchange | None, arrived: int) -> Reply:
+        """Denied, for no room or for nothing to run it on yet. What has an effect and ran once is never
+        denied, and its result needs no room."""
+        if earlier is None or not earlier.ran or earlier.group.effect is Effect.REPEATABLE:
+            return Reply(Final.DENIED)
+        entry = self.kept.find(name, arrived)
+        if entry is None or entry.result is None:
+            return Reply(Final.TERMINATED)
+        return Reply(Final.COMPLETED, entry.result)
+
+    def _earlier(self, group, asked: Asked, arrived: int) -> tuple[tuple | None, Exchange | None]:
         """The name under which a repeat of it would be known, and the exchange that it repeats itself."""
         if group.effect is Effect.DEDUPLICATED and group.window and asked.key:
             name = (group.name, asked.customer, "key", asked.key)
@@ -253,7 +270,8 @@
             name = (group.name, asked.customer, "id", asked.id)  # asked again as itself, by who lost us
         else:
             return None, None
-        entry = self.kept.find(name, self.now)
+        # A key counts from when its repeat reached the machine, read whenever; a result is fresh now.
+        entry = self.kept.find(name, arrived if name[2] == "key" else self.now)
         return name, entry.ex if entry is not None else None
 
     # What outlives this process
@@ -457,7 +475,9 @@
                     self.kept.enter(each.kept_as, each.ex, self.now + self.limits.fresh)
             for other in [other for other in self.hand.by_id.values() if other.waits_for is each.ex]:
                 self.out.answer_joined(other, result)
-        else:
+        elif not any(other.ex.repeats is each.ex for other in self.hand.by_id.values()):
+            # Else one that repeats it takes its place in this pass: dropped now, a further repeat read before
+            # the round would be taken for a first one, and both would run.
             self.kept.drop(each.kept_as, each.ex)
 
     # The index
--- a/lilacwalk/memory/kept.py
+++ b/lilacwalk/memory/kept.py
@@ -6,6 +6,8 @@
 
 from lilacwalk.decisions.interface import Exchange
 
+READ_LATE = 10_000  # tenths of a ms: who reached the machine so long ago and was not read met a standstill
+
 
 @dataclass(eq=False, slots=True)
 class Entry:
@@ -20,15 +22,16 @@
         self.most, self.most_bytes = count, size
         self.entries: dict[tuple, Entry] = {}  # in the order of entering
         self.bytes = 0
+        self.forgotten = 0  # who came before this may repeat what is not known any more
 
     @property
     def full(self) -> bool:
         return len(self.entries) >= self.most
 
-    def find(self, name: tuple, now: int) -> Entry | None:
+    def find(self, name: tuple, arrived: int) -> Entry | None:
+        """What was kept under the name when a repeat reached the machine, however late that is read."""
         entry = self.entries.get(name)
-        if entry is not None and entry.until is not None and entry.until <= now:
-            self.drop(name, entry.ex)
+        if entry is not None and entry.until is not None and entry.until <= arrived:
             return None
         return entry
 
@@ -71,5 +74,6 @@
 
     def sweep(self, now: int) -> None:
         for name, entry in list(self.entries.items()):
-            if entry.until is not None and entry.until <= now:
+            if entry.until is not None and entry.until <= now - READ_LATE:
+                self.forgotten = max(self.forgotten, entry.until)
                 self.drop(name, entry.ex)
