Connections close in order: nothing unread, undecided or unsent is cut, at drain and out of it

Cause, each seen with the real program between stand-ins, lines as they were: - Door.end shut the listening socket down, which resets what the system has accepted and nobody has taken; _see_to_the_end ended with connections that were accepted and not yet heard of. Now the backlog is taken first, and the end waits for the listener's last word. - Resp2._close_idle and _make_room cut whoever had nothing open, whatever stood unread in the socket, in the reader's hands, on the queue or unsent in the outbox. Now only who is quiet and rests is closed: half, read to its end within 0.2 s, then wholly. A request that crosses is dropped, never run. - _close_idle cut a connection with exchanges in flight where half a message came over a second after the last one; a message of 2 KiB never fits one read. Now a message begun counts from its beginning, and not while something is open. - The process ended over open connections: now those are half closed before. - serve() set SIGTERM's handler after the listener had opened. - A pass drained the whole queue: due times and the report waited for a flood. Now it takes 64 items at most. - BOOTED with an infinite age ended the process, a host name in a reloaded file could (looked up by sendto in the deciding thread), and class times of zero or 1e308 were a traceback or a division by zero later. Now each is refused.

--- a/lilacwalk/fronts/devices.py
+++ b/lilacwalk/fronts/devices.py
@@ -131,6 +131,9 @@
         self.shutting = True
         self.edge.put(self.edge.shut)
 
+    def let_go(self, now: int, late: bool) -> None:
+        pass  # the edge's own thread closes its links
+
     def done(self) -> bool:
         return self.edge.over.is_set() or self.shutting and self.edge.idle
 
--- a/lilacwalk/fronts/resp2.py
+++ b/lilacwalk/fronts/resp2.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import logging
+from itertools import islice
 
 from lilacwalk.fronts.seam import Host
 from lilacwalk.limits import Limits
 from lilacwalk.memory.records import Asked, Final, Reply
 from lilacwalk.wire import routers
+from lilacwalk.wire.outbox import hang_up
 from lilacwalk.wire.routers import Connection, Door
 
 log = logging.getLogger(__name__)
@@ -24,7 +26,9 @@
         self.host, self.door, self.most, self.in_hand = host, door, most, 0
         self.limits, self.source = limits or host.limits, source
         self.connections: dict[Connection, None] = {}
+        self.door_over = False  # all that it accepted has been told
         door.on_opened, door.on_messages, door.on_ended = self.opened, self.messages, self.ended
+        door.on_over = self._door_over
 
     # What the deciding thread asks of a front
 
@@ -48,12 +52,25 @@
         pass
 
     def shut(self) -> None:
-        self.door.end()
+        self.door.shut()
         for connection in self.connections:
             self._ask_to_close(connection)
 
+    def let_go(self, now: int, late: bool) -> None:
+        """Behind the shut door: routers that rest on though asked to close are half closed from here, once
+        nothing of theirs is open, unread or unsent."""
+        self.door.shut()
+        for each in self.connections:
+            if each.cut:
+                self._linger(each, now)
+            elif self._rests(each) and (late or now - each.closing_since > self.limits.settle) and each.quiet:
+                each.finish(now)
+
     def done(self) -> bool:
-        return not self.connections
+        return self.door_over and not self.connections
+
+    def _door_over(self) -> None:
+        self.door_over = True
 
     def flushed(self) -> bool:
         return all(connection.outbox.flushed for connection in self.connections)
@@ -116,18 +133,42 @@
         elif wrong := self.host.asked(connection, tag, asked):
             self.bad(connection, tag, wrong)
 
+    @staticmethod
+    def _rests(connection: Connection) -> bool:
+        """Nothing is open on it, and all that was answered has left."""
+        return not connection.open and connection.outbox.flushed
+
+    def _linger(self, connection: Connection, now: int) -> None:
+        """The bound of reading a half closed one to its end."""
+        if connection.finished_at and now - connection.finished_at > self.limits.linger:
+            hang_up(connection.sock)
+
+    def _stuck(self, connection: Connection, now: int) -> bool:
+        """Who says nothing after it connected, or stops in the middle of a message, is no router, and would
+        take a router's place. A message begun counts from its own beginning: what rested or runs for longer
+        may be followed by half a message at any time."""
+        if connection.begun != connection.waited_on:
+            connection.waited_on, connection.waited_since = connection.begun, now
+        if connection.begun:
+            return not connection.open and now - connection.waited_since > self.limits.message
+        return not connection.sound and now - connection.last_used > self.limits.message and connection.quiet
+
     def _close_idle(self, now: int) -> None:
-        """Those that the controller wants closed. And at once those that say nothing after they connected, or
-        stop in the middle of a message: they are no routers, and would take the routers' places."""
+        """Those that the controller wants closed, and at once those that are stuck."""
         after = self.host.close_idle_after or self.limits.routers_idle
         for each in self.connections:
-            if (each.begun or not each.sound) and now - each.last_used > self.limits.message:
+            if each.cut:
+                self._linger(each, now)
+            elif self._stuck(each, now):
                 each.cut_off()
             elif each.open:
                 continue
+            elif not each.outbox.flushed:
+                if now - each.last_used > self.limits.unsent:
+                    each.cut_off(reset=True)
             elif each.closing_since:
-                if now - each.closing_since > self.limits.closing:
-                    each.cut_off()
+                if now - each.closing_since > self.limits.closing and each.quiet:
+                    each.finish(now)
             elif now - each.last_used > after:
                 self._ask_to_close(each)
         self._make_room()
@@ -137,11 +178,15 @@
         the new ones: who has something to ask finds room, also while its question is on its way."""
         standing = [each for each in self.connections if not each.cut]
         if (too_many := len(standing) - self.limits.crowded) > 0:
-            idle = [each for each in standing if not each.open]
+            idle = [each for each in standing if self._rests(each)]
             new = self.host.now - self.limits.young
             idle.sort(key=lambda each: (1 if each.sound else 2 * (each.last_used > new), each.last_used))
-            for each in idle[:too_many]:
-                each.cut_off()
+            quiet = (each for each in idle if each.quiet)
+            for each in islice(quiet, too_many):
+                if each.sound:  # an answer may be on its way to it
+                    each.finish(self.host.now)
+                else:
+                    each.cut_off()
 
     def _ask_to_close(self, connection: Connection) -> None:
         if not connection.closing_since:
--- a/lilacwalk/handover.py
+++ b/lilacwalk/handover.py
@@ -87,10 +87,13 @@
     groups = []
     for i, each in enumerate(row(settings, "classes")):
         timeout = early(number(each, "hard_limit_ms"))
+        slo_time = early(number(each, "aim_ms", timeout / 10))
+        if timeout < 1 or slo_time < 1:
+            raise HandoverError(f"class {each.get('name', i)} leaves no time to answer in")
         groups.append(EndpointGroup(
             name=str(each.get("name", i)),
             benefit=number(each, "worth", 1.0),
-            slo_time=early(number(each, "aim_ms", timeout / 10)),
+            slo_time=slo_time,
             async_timeout=timeout,
             effect=choice(each, "effect", EFFECTS, "safe"),
             slo_stretch=number(each, "aim_stretch", 0.0),
--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -61,7 +61,8 @@
 
 
 class Deciding:
-    """Each pass drains all that came, gives it to the controller as one round and sends what was decided."""
+    """Each pass drains what came, gives it to the controller as one round and sends what was decided. A pass
+    takes so much at most that what is due by then is never late for the length of the queue."""
 
     def __init__(self, server: AppServer, limits: Limits, clock: Clock, inbox: SimpleQueue, door: Door,
                  kernel_link: KernelLink, index: Index, catalog: Catalog) -> None:
@@ -144,10 +145,11 @@
         items: list[tuple] = []
         try:
             items.append(self.inbox.get(timeout=wait / SECOND))
-            while True:
+            while len(items) < self.limits.pass_items:
                 items.append(self.inbox.get_nowait())
         except Empty:
-            return items
+            pass
+        return items
 
     def at(self, time: int, action: Callable, *arguments) -> None:
         heapq.heappush(self.due_times, (time, next(self.order), action, *arguments))
@@ -704,14 +706,17 @@
                 f"calls={told.calling + len(told.at_calls)} memory_kb={int(told.memory)}")
 
     def _see_to_the_end(self) -> None:
-        """Ends once all routers have closed, or when the time is nearly up and all is answered and sent."""
+        """Ends once all connections have closed, or when the time is nearly up: till then those that rest are
+        half closed and read to their end."""
         late = self.now >= self.stop_at - self.limits.flush // 2
         if late:
             for each in list(self.hand.by_id.values()):
                 self.out.answer(each, Final.TERMINATED)
-        flushed = all(front.flushed() for front in self.fronts)
+        for front in self.fronts:
+            front.let_go(self.now, late)
         gone = all(front.done() for front in self.fronts)
-        if gone or late and flushed or self.now >= self.stop_at - self.limits.flush // 4:
+        if gone or self.now >= self.stop_at - self.limits.flush // 4:
+            flushed = all(front.flushed() for front in self.fronts)
             log.info("event=stopped connections=%d flushed=%s %s",
                      len(self.resp2.connections), flushed, self.believed())
             self.ended = True
--- a/lilacwalk/lifecycle/handed.py
+++ b/lilacwalk/lifecycle/handed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 
 from lilacwalk.decisions.interface import AppServer
 from lilacwalk.handover import app_server, HandoverError
@@ -32,7 +33,11 @@
 
 def address(handed: dict, name: str) -> tuple[str, int]:
     host, sep, port = str(handed.get(name, "")).rpartition(":")
-    if not sep or not host or not port.isdecimal() or int(port) > 65535:
+    try:
+        usable = bool(socket.inet_pton(socket.AF_INET, host)) and port.isdecimal() and int(port) <= 65535
+    except (OSError, ValueError):  # a name is none: there is nobody to ask for it, and asking would block
+        usable = False
+    if not usable:
         raise CannotUseError(f"configuration: {name}={handed.get(name)} is no host:port")
     return host, int(port)
 
@@ -47,5 +52,5 @@
     """The app server as the controller knows it, and the limits of its sockets."""
     try:
         return app_server(handed["settings"], int(str(handed.get("seed", "0")), 16)), Limits.given(handed)
-    except (HandoverError, ValueError, AttributeError, TypeError) as error:
+    except (HandoverError, ValueError, AttributeError, TypeError, LookupError, OverflowError) as error:
         raise CannotUseError(f"configuration: {error}") from None
--- a/lilacwalk/lifecycle/serve.py
+++ b/lilacwalk/lifecycle/serve.py
@@ -49,6 +49,8 @@
     inbox: SimpleQueue = SimpleQueue()
     # Before the file is read: a change that comes while starting waits in the queue, and is read again.
     signal.signal(signal.SIGHUP, lambda *_: inbox.put((lambda: deciding.reload(path, own),)))
+    # Likewise before the listener opens: what it accepts is answered, whenever the notice to leave comes.
+    signal.signal(signal.SIGTERM, lambda *_: inbox.put((lambda: deciding.leave(),)))
     try:
         orders = own() if own is not None else None
         deciding, threads = build(read(path), inbox)
@@ -59,7 +61,6 @@
     except CannotUseError as error:
         print(f"lilacwalk: {error}", file=sys.stderr)
         return 2
-    signal.signal(signal.SIGTERM, lambda *_: inbox.put((deciding.leave,)))
     for each in threads:
         each.start()
     log.info("event=started listen=%s:%d connections=%d", *deciding.door.address, deciding.limits.connections)
--- a/lilacwalk/limits.py
+++ b/lilacwalk/limits.py
@@ -43,6 +43,7 @@
     backlog: int = 1_024  # connections not yet accepted: who finds it full comes again a second later
     message: int = SECOND  # to the first whole one from connecting, and to its end from where one began
     young: int = SECOND // 5  # connected so recently that the first message may well be on its way
+    pass_items: int = 64  # taken from the queue in one pass: of full batches some 2,000 messages, about 50 ms
     # Kernel and index: their messages are longer than the routers' by a few words.
     # Each read's buffer is cut down to what came, and what is cut off rarely serves the next one: large reads
     # leave the heap full of holes. Notices and replies are a few hundred bytes.
@@ -59,6 +60,9 @@
     look_at_idle: int = SECOND // 20  # a fifth of the shortest idle time that is asked for in practice
     flush: int = 3 * SECOND // 10  # kept back from the time to leave, for answers on their way
     closing: int = 2 * SECOND  # how long a router may take to close what it was asked to
+    settle: int = SECOND // 10  # in a drain: twice the 50 ms in which a request may cross the asking
+    linger: int = SECOND // 5  # a half closed connection is read to its end: some hundred ways there and back
+    unsent: int = 10 * SECOND  # nothing asked and the last answer not taken for so long: nobody reads there
 
     @classmethod
     def given(cls, handed: dict) -> Limits:
--- a/lilacwalk/standins/index.py
+++ b/lilacwalk/standins/index.py
@@ -3,9 +3,11 @@
 
 from __future__ import annotations
 
+import bisect
 import socket
 import threading
 import time
+from math import inf
 
 from lilacwalk.standins.accepting import serve_each
 from lilacwalk.wire.lines import LineParser
@@ -24,6 +26,7 @@
         self.free = threading.Semaphore(slots)
         self.lock = threading.Lock()
         self.in_hand = self.most = self.made = 0
+        self.changes: list[tuple[float, int]] = []  # when, and how many were in hand from then on
         self.over = False
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -52,6 +55,7 @@
             self.in_hand += 1
             self.made += 1
             self.most = max(self.most, self.in_hand)
+            self.changes.append((time.monotonic(), self.in_hand))
             crowd = max(1.0, self.in_hand / (CROWDED * self.slots))
         try:
             with self.free:
@@ -59,3 +63,22 @@
         finally:
             with self.lock:
                 self.in_hand -= 1
+                self.changes.append((time.monotonic(), self.in_hand))
+
+    def crowds(self, span: float, step: float) -> list[float]:
+        """The mean in hand over each window of `span` seconds, one every `step`."""
+        with self.lock:
+            changes = list(self.changes)
+        if not changes:
+            return []
+        sums, total = [(changes[0][0], 0.0)], 0.0
+        for (since, held), (until, _) in zip(changes, changes[1:], strict=False):
+            total += held * (until - since)
+            sums.append((until, total))
+
+        def until(moment: float) -> float:
+            at = bisect.bisect_right(sums, (moment, inf)) - 1
+            return 0.0 if at < 0 else sums[at][1] + changes[at][1] * (moment - sums[at][0])
+        starts = int((sums[-1][0] - sums[0][0] - span) / step)
+        moments = [sums[0][0] + step * each for each in range(max(0, starts) + 1)]
+        return [(until(each + span) - until(each)) / span for each in moments]
--- a/lilacwalk/standins/kernel.py
+++ b/lilacwalk/standins/kernel.py
@@ -26,7 +26,8 @@
 
     def __init__(self, cores: int = 1, work: Callable[[str, bytes], float] = lambda group, body: 0.0,
                  result: Callable[[str, bytes], bytes] = lambda group, body: b"ok",
-                 calls: tuple[str, ...] = ()) -> None:
+                 calls: tuple[str, ...] = (), cold: bool = False) -> None:
+        self.cold = cold
         self.cores, self.work, self.result, self.calls = cores, work, result, calls
         self.at_call: dict[str, tuple[str, bytes, float]] = {}  # by id: waits for its reply since
         self.back: set[str] = set()  # from a call: the second half of their runs
@@ -81,7 +82,8 @@
             if words[0] == "OPEN":
                 self.link = sock
                 age = int((time.monotonic() - self.began) * 1000)
-                sock.sendall(b"BOOTED steady %d\r\n" % (age + 60_000))
+                sock.sendall(b"BOOTED booting %d\r\n" % age if self.cold
+                             else b"BOOTED steady %d\r\n" % (age + 60_000))
                 for number, data in self.notices:
                     if number > int(words[1]):
                         sock.sendall(data)
--- a/lilacwalk/wire/kernel.py
+++ b/lilacwalk/wire/kernel.py
@@ -58,7 +58,7 @@
             return "rejected", 0, words[1], words[2] if len(words) > 2 else ""
         if words[0] == "DMESG":
             return "remark", int(words[1])
-    except (IndexError, KeyError, ValueError):
+    except (IndexError, KeyError, ValueError, OverflowError):  # of an int too: BOOTED steady inf
         raise FrameError(f"'{' '.join(words)[:60]}' is no notice") from None
     return None
 
--- a/lilacwalk/wire/routers.py
+++ b/lilacwalk/wire/routers.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+import select
 import socket
 import threading
 from collections.abc import Callable
@@ -93,8 +94,9 @@
     """One router's connection. A thread reads it; what was read goes onto the deciding thread's queue in
     batches, a few at a time, so that a router that floods waits for itself."""
 
-    __slots__ = ("sock", "peer", "limits", "inbox", "door", "outbox", "ahead", "cut", "begun", "open",
-                 "front", "last_used", "closing_since", "sound")
+    __slots__ = ("sock", "peer", "limits", "inbox", "door", "outbox", "ahead", "cut", "taking", "begun",
+                 "open", "front", "last_used", "closing_since", "finished_at", "waited_on", "waited_since",
+                 "sound")
 
     def __init__(self, sock: socket.socket, peer: str, limits: Limits, inbox: SimpleQueue,
                  door: Door) -> None:
@@ -104,12 +106,15 @@
         for _ in range(limits.batches_ahead):
             self.ahead.put(None)
         self.cut = False
-        self.begun = False  # a message whose end is still due
+        self.taking = False  # bytes have left the system's buffer, or are about to, and are on no queue yet
+        self.begun = 0  # the number, on this connection, of the message whose end is still due; 0: none is
         # The deciding thread's own.
         self.front = None
         self.open: dict = {}  # exchanges in hand by tag
         self.last_used = 0
         self.closing_since = 0  # 0: not asked to close
+        self.finished_at = 0  # when it was half closed from this side
+        self.waited_on, self.waited_since = 0, 0  # the message begun that was last seen, and when first
         self.sound = False  # a message was understood: before that nobody knows who this is
 
     def start(self) -> None:
@@ -120,6 +125,23 @@
         self.cut = True
         hang_up(self.sock, reset)
 
+    @property
+    def quiet(self) -> bool:
+        """Whether nothing that came is unread or undecided. Looked at in the order opposite to that in which
+        bytes move on, so that none slips by between two looks."""
+        unread = select.poll()
+        unread.register(self.sock, select.POLLIN)
+        return not unread.poll(0) and not self.taking and self.ahead.qsize() == self.limits.batches_ahead
+
+    def finish(self, now: int) -> None:
+        """Half closes it. The reader reads on to the other side's end, and what it reads is dropped: a close
+        over unread bytes would reset the connection, and answers on their way with it."""
+        self.cut, self.finished_at = True, now
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass  # the other side was faster
+
     def _run(self) -> None:
         try:
             self._read()
@@ -138,16 +160,24 @@
     def _read(self) -> None:
         limits = self.limits
         parser = Parser(limits.parts, limits.part, limits.skipped)
-        while (chunk := self.sock.recv(limits.read)) and not self.cut:
+        ready, count = select.poll(), 0
+        ready.register(self.sock, select.POLLIN)
+        while True:
+            ready.poll()
+            self.taking = True
+            if not (chunk := self.sock.recv(limits.read)):
+                return
             messages = []
-            for parts in parser.feed(chunk):
+            for parts in parser.feed(chunk) if not self.cut else ():
+                count += 1
                 messages.append(self._decode(parts))
                 if len(messages) == limits.batch:
                     self._hand_over(messages)
                     messages = []
             if messages:
                 self._hand_over(messages)
-            self.begun = parser.begun
+            self.begun = count + 1 if parser.begun else 0
+            self.taking = False
 
     def _hand_over(self, messages: list[tuple]) -> None:
         self.ahead.get()
@@ -179,8 +209,9 @@
         self.on_opened: Callable
         self.on_messages: Callable
         self.on_ended: Callable
+        self.on_over: Callable
         self.room = room or threading.Semaphore(limits.connections)
-        self.shut_down = False
+        self.shut_down = self.emptied = False
         self.bad_messages, self.bad_framing = Tally(), Tally()
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -203,6 +234,26 @@
         self.shut_down = True
         hang_up(self.sock)
 
+    def shut(self) -> bool:
+        """Called by the deciding thread until it is true. All that the system has accepted is taken first: it
+        may hold a request already, and would be reset with the listening socket."""
+        if not self.shut_down:
+            self.shut_down = True
+            self.sock.setblocking(False)  # an accept that the thread waits in goes on all the same
+            self.room.release()  # it may wait for room, too; at the end one over the count does no harm
+        while not self.emptied and self.room.acquire(blocking=False):
+            try:
+                sock, (host, port) = self.sock.accept()
+            except OSError as error:
+                self.room.release()
+                if not isinstance(error, BlockingIOError):
+                    return False  # out of descriptors, or it was gone before it was taken: the next look
+                self.emptied = True
+                hang_up(self.sock)
+            else:
+                self._take(sock, f"{host}:{port}")
+        return self.emptied
+
     def _run(self) -> None:
         try:
             while not self.shut_down:
@@ -221,9 +272,15 @@
             self.inbox.put((None, "the door failed"))
         finally:
             self.sock.close()
+            self.inbox.put((self.on_over,))
 
     def _take(self, sock: socket.socket, peer: str) -> None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:  # it ended before it was looked at: not the listener's end
+            sock.close()
+            self.room.release()
+            return
         connection = Connection(sock, peer, self.limits, self.inbox, self)
         self.inbox.put((self.on_opened, connection))
         try:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -190,6 +190,29 @@
     return f"{address[0]}:{address[1]}"
 
 
+class Inbox(SimpleQueue):
+    """Tells of each item that was put, so that a story knows what stands on it."""
+
+    def __init__(self):
+        self.came = threading.Semaphore(0)
+
+    def put(self, item):
+        super().put(item)
+        self.came.release()
+
+    def together(self, *acts):
+        """What the acts bring onto the queue, in this order, is one pass."""
+        held, go_on = threading.Event(), threading.Event()
+        self.put((lambda: (held.set(), go_on.wait(PATIENCE)),))
+        assert held.wait(PATIENCE)
+        while self.came.acquire(blocking=False):
+            pass
+        for act in acts:
+            act()
+            assert self.came.acquire(timeout=PATIENCE)
+        go_on.set()
+
+
 class Site:
     def __init__(self, tmp_path, limits=None, settings=None, **handed):
         self.kernel_port, self.index_port = (socket.create_server(("127.0.0.1", 0)) for _ in range(2))
@@ -206,7 +229,7 @@
 
     def start(self):
         """In this process, the deciding thread beside the test's own."""
-        self.deciding, self.parts = build(self.handed, SimpleQueue(), **self.limits)
+        self.deciding, self.parts = build(self.handed, Inbox(), **self.limits)
         self.thread = threading.Thread(target=self.deciding.run, daemon=True)
         for each in [self.thread, *self.parts]:
             each.start()
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -6,7 +6,7 @@
 from lilacwalk.benchwire import codec
 from lilacwalk.decisions.interface import EndpointGroup, Exchange
 from lilacwalk.lifecycle.clock import Clock
-from lilacwalk.memory.kept import Kept
+from lilacwalk.memory.kept import Kept, READ_LATE
 from lilacwalk.wire.lines import LineParser
 from lilacwalk.wire.resp import encode, FrameError, Parser
 
@@ -81,9 +81,11 @@
         kept.ended((name,), ex, b"7 bytes")
     assert kept.full and kept.bytes == 7
     assert kept.find(("a",), 50).result == b"7 bytes" and kept.find(("b",), 50).result is None
-    assert kept.find(("a",), 100) is None and kept.bytes == 0
-    kept.sweep(100)
-    assert not kept.entries
+    assert kept.find(("a",), 100) is None
+    kept.sweep(100)  # who came at 99 may be read now
+    assert kept.find(("a",), 99).result == b"7 bytes" and not kept.forgotten
+    kept.sweep(100 + READ_LATE)
+    assert not kept.entries and kept.bytes == 0 and kept.forgotten == 100
 
 
 def test_both_hosts_are_handed_the_same():
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -1,12 +1,21 @@
 """Moments that seldom come, each made to come every time: what is read together, late, or as all ends."""
 
+import json
+import os
+import signal
+import socket
+import threading
 import time
+from itertools import permutations
+from queue import SimpleQueue
 
 import pytest
-from tests.conftest import SETTINGS
+from tests.conftest import PATIENCE, Router, SETTINGS
 
+from lilacwalk.lifecycle import serve
 from lilacwalk.lifecycle.clock import Clock
 from lilacwalk.wire.resp import encode
+from lilacwalk.wire.routers import Connection, Door
 
 ONE_CORE = {"family_info": SETTINGS["family_info"] | {"cpus": 1},
             "rules": SETTINGS["rules"] | {"tip_multiple": 2.0}}
@@ -115,3 +124,324 @@
     assert router.answer()[:2] == (5, "later")
 
 
+
+
+# Connections that end while something comes in
+
+
+def test_what_stands_in_the_backlog_when_the_listener_closes_gets_its_one_answer(make_site):
+    site = make_site(stop_ms=60_000, limits={"connections": 1, "crowded": 1}).start()
+    site.kernel, first = site.link(), site.router()
+    first.submit(1)
+    running = scheduled(site)
+    waiting = site.router()  # the system accepts it; there is no room for it here yet
+    waiting.submit(1)
+    site.deciding.inbox.put((site.deciding.leave,))
+    assert first.answer()[:2] == (0, "closing")  # said behind the shut door
+    ends(site, 1, running)
+    assert first.answer()[:2] == (1, "done")
+    first.sock.close()
+    assert waiting.answer()[:2] == (0, "closing")
+    ends(site, 2, scheduled(site))  # it reached the machine within the grace
+    assert waiting.answer()[:2] == (1, "done")
+
+
+def test_a_connection_accepted_as_the_listener_closes_is_answered_before_the_end(make_site, monkeypatch):
+    taken, take = threading.Event(), Door._take
+    monkeypatch.setattr(Door, "_take", lambda *about: (take(*about), taken.set()))
+    deciding, (door, _) = serve.build(make_site(stop_ms=60_000).handed, SimpleQueue())
+    door.start()
+    router = Router(door.address)
+    router.submit(1)
+    assert taken.wait(PATIENCE)  # it is on the queue, and the deciding thread has not heard of it
+    deciding.leave()
+    deciding._shut_the_door()
+    deciding.run()
+    assert router.answer()[:2] == (0, "closing") and router.answer()[:2] == (1, "later")
+    assert router.answer() is None
+
+
+@pytest.fixture
+def resting(make_site):
+    """Two routers that were asked to close and rest on, and the moment at which their time is over."""
+    info = SETTINGS["family_info"] | {"caller_idle_ms": 1000.0}
+    site = make_site(settings={"family_info": info}, limits={"closing": 10_000}).start()
+    site.kernel, site.resting = site.link(), [site.router() for _ in range(2)]
+    for each in site.resting:
+        looked(each)
+    ahead = [0]
+    site.deciding.clock = Clock(lambda: time.time_ns() + ahead[0], lambda: time.monotonic_ns() + ahead[0])
+
+    def move():
+        ahead[0] += 1_500_000_000
+    move()
+    for each in site.resting:
+        assert each.answer()[:2] == (0, "closing")
+    site.move_on = move
+    return site
+
+
+def test_a_request_that_was_taken_up_and_not_yet_handed_over_is_answered_though_its_rest_is_over(
+        resting, monkeypatch):
+    taken, go_on, decode = threading.Event(), threading.Event(), Connection._decode
+
+    def held(connection, parts):
+        taken.set()
+        assert go_on.wait(PATIENCE)
+        return decode(connection, parts)
+    monkeypatch.setattr(Connection, "_decode", held)
+    asking, beside = resting.resting
+    asking.submit(1)
+    assert taken.wait(PATIENCE)
+    resting.move_on()
+    assert beside.answer() is None  # both were looked at
+    go_on.set()
+    ends(resting, 1, scheduled(resting))
+    assert asking.answer()[:2] == (1, "done")
+
+
+def test_a_request_that_crosses_the_close_of_a_resting_connection_never_runs_and_resets_nothing(resting):
+    asking, beside = resting.resting
+    resting.move_on()
+    assert asking.answer() is None and beside.answer() is None
+    asking.submit(1)
+    asking.sock.shutdown(socket.SHUT_WR)
+    assert asking.sock.recv(1) == b"" and asking.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
+    other = resting.router()
+    other.submit(1, i="00000000000000ee")
+    assert scheduled(resting) == "00000000000000ee"
+
+
+def test_bytes_that_stand_unread_keep_a_resting_connection(make_site):
+    deciding, _ = serve.build(make_site().handed, SimpleQueue())
+    ours, theirs = socket.socketpair()
+    connection = Connection(ours, "router", deciding.limits, deciding.inbox, deciding.door)  # nobody reads it
+    deciding.resp2.opened(connection)
+    connection.sound, connection.closing_since = True, deciding.now
+    theirs.sendall(b"*")
+    for _ in range(3):
+        deciding.now += 2 * deciding.limits.closing
+        deciding.resp2.tick(deciding.now, False)
+        assert not connection.cut
+    ours.recv(1)
+    deciding.resp2.tick(deciding.now, False)
+    assert connection.cut and theirs.recv(1) == b""
+
+
+def test_an_answer_that_has_not_left_yet_is_not_lost_to_make_room(make_site):
+    deciding, _ = serve.build(make_site().handed, SimpleQueue(), crowded=1)
+    pairs = [socket.socketpair() for _ in range(2)]
+    answered, silent = (Connection(ours, "router", deciding.limits, deciding.inbox, deciding.door)
+                        for ours, _ in pairs)
+    deciding.resp2.opened(answered)
+    answered.sound = True
+    deciding.now += 20 * deciding.limits.message  # the longest idle
+    deciding.resp2.say(answered, 1, b"error")
+    deciding.resp2.opened(silent)  # in the same pass there is one too many
+    assert not answered.cut
+    answered.outbox.flush()
+    assert b"error" in pairs[0][1].recv(100)
+
+
+def test_half_a_message_behind_a_long_run_ends_no_connection_with_something_in_flight(make_site):
+    site = make_site(limits={"message": 1_000}).start()
+    site.kernel, router = site.link(), site.router()
+    router.submit(1)
+    running, ahead = scheduled(site), 5_000_000_000
+    site.deciding.clock = Clock(lambda: time.time_ns() + ahead, lambda: time.monotonic_ns() + ahead)
+    half = router.message(2)
+    router.sock.sendall(half[:20])
+    silent = site.router()
+    assert silent.answer() is None  # a message's time and more has passed
+    ends(site, 1, running)
+    assert router.answer()[:2] == (1, "done")
+    router.sock.sendall(half[20:])
+    ends(site, 2, scheduled(site))
+    assert router.answer()[:2] == (2, "done")
+
+
+# The notice to leave
+
+
+def test_a_notice_to_leave_as_the_listener_opens_is_a_drain(make_site, monkeypatch):
+    site, build, routers = make_site(), serve.build, []
+
+    def built(*about):
+        deciding, parts = build(*about)
+        routers.append(Router(deciding.door.address))
+        routers[0].submit(1)
+        os.kill(os.getpid(), signal.SIGTERM)
+        return deciding, parts
+    monkeypatch.setattr(serve, "build", built)
+    site.path.write_text(json.dumps(site.handed))
+    before = {each: signal.getsignal(each) for each in (signal.SIGTERM, signal.SIGHUP)}
+    signal.signal(signal.SIGTERM, lambda *_: pytest.fail("nothing was there to take it"))
+    try:
+        assert serve.serve(str(site.path)) == 0
+    finally:
+        for each, handler in before.items():
+            signal.signal(each, handler)
+    assert [routers[0].answer()[:2] for _ in range(2)] in ([(1, "later"), (0, "closing")],
+                                                           [(0, "closing"), (1, "later")])
+
+
+@pytest.mark.parametrize("opened", [False, True])
+def test_a_notice_to_leave_before_the_kernel_is_up_is_a_drain(make_site, opened):
+    site = make_site().spawn()
+    kernel = site.link(ready=False)
+    if opened:
+        kernel.tell("DMESG 1 starting")  # between OPEN and BOOTED
+    router = site.router()
+    router.submit(1)
+    assert router.answer()[:2] == (1, "later")
+    site.process.send_signal(signal.SIGTERM)
+    assert router.answer()[:2] == (0, "closing") and router.answer() is None
+    router.sock.close()
+    assert site.process.wait(PATIENCE) == 0
+
+
+@pytest.mark.parametrize("reads", [True, False])
+def test_a_drain_ends_in_time_beside_who_never_closes_or_reads_and_all_else_is_answered(make_site, reads):
+    site = make_site().spawn()
+    site.kernel = site.link()
+    router, odd = site.router(), site.router()
+    looked(odd)
+    if not reads:
+        odd.sock.settimeout(0.5)
+        with pytest.raises((TimeoutError, ConnectionError)):  # its answers fill both buffers
+            while True:
+                odd.sock.sendall(encode(b"PROBE", b"1") * 500)
+    router.submit(1)
+    running, begun = scheduled(site), time.monotonic()
+    site.process.send_signal(signal.SIGTERM)
+    assert router.answer()[:2] == (0, "closing")
+    ends(site, 1, running, b"x" * 4096)
+    assert router.answer()[1::2] == ("done", b"x" * 4096)
+    assert site.process.wait(PATIENCE) == 0 and time.monotonic() - begun < 1.5  # its stop_ms
+
+
+# Floods
+
+
+def test_what_is_due_and_the_report_wait_for_no_queue(make_site):
+    deciding, _ = serve.build(make_site().handed, SimpleQueue())
+    order = []
+    deciding.at(deciding.now, order.append, "due")
+    for number in range(10_000):
+        deciding.inbox.put((order.append, number))
+    while "due" not in order:
+        deciding.one_pass()
+    assert order.index("due") <= 100
+
+
+# What ends an exchange, two at a time
+
+
+class Ending:
+    """One exchange in flight, and what may end it from each side."""
+
+    def __init__(self, site, calling):
+        self.site, self.router = site, site.router()
+        self.router.submit(1, "look")
+        self.ident = scheduled(site)
+        self.number, self.index = 1, None
+        if calling:
+            site.kernel.tell(f"IOREQ 1 {self.ident} 1", b"?")
+            self.index, self.number = site.calls(), 2
+            self.index.expect("GET")
+
+    def withdrawn(self):
+        self.router.say(b"WITHDRAW", b"1")
+
+    def reaped(self):
+        ends(self.site, self.number, self.ident)
+
+    def stopped(self):
+        self.site.kernel.tell(f"REAP {self.number} {self.ident} interrupted 3 0", b"")
+
+    def replied(self):
+        self.index.tell(f"{self.ident} HIT 1", b"!")
+
+    def unlinked(self):
+        self.site.kernel.sock.shutdown(socket.SHUT_RDWR)
+        self.site.unlinked = True
+
+    def hung_up(self):
+        self.router.sock.shutdown(socket.SHUT_RDWR)
+
+
+RUNNING = ["withdrawn", "reaped", "unlinked", "hung_up"]
+CALLING = ["withdrawn", "stopped", "unlinked", "hung_up", "replied"]
+
+
+@pytest.mark.parametrize("at_once", [True, False])
+@pytest.mark.parametrize("calling, first, second", [
+    (calling, *two) for calling, ends in ((False, RUNNING), (True, CALLING)) for two in permutations(ends, 2)
+    if two not in (("hung_up", "withdrawn"), ("unlinked", "reaped"), ("unlinked", "stopped"))])
+def test_two_ends_of_one_exchange_in_either_order_give_one_answer_and_leave_nothing(
+        site, calling, first, second, at_once):
+    each, site.unlinked = Ending(site, calling), False
+    gone, ended = {"withdrawn", "hung_up"}, {"reaped", "stopped"}
+    acts = [getattr(each, name) for name in (first, second)]
+    if at_once:
+        site.deciding.inbox.together(*acts)
+    else:
+        for act in acts:
+            act()
+            looked(site.router())
+    if site.unlinked:
+        site.kernel = site.link()
+    if not ended & {first, second}:
+        site.kernel.tell(f"REAP {each.number} {each.ident} {'interrupted 3 0' if calling else 'success 3 1'}",
+                         b"" if calling else b"r")
+    beside = site.router()
+    beside.submit(1)
+    while (other := scheduled(site)) == each.ident:  # sent again behind the fence: nothing confirmed it
+        pass
+    ends(site, each.number + 1, other)
+    assert beside.answer()[:2] == (1, "done")
+    if "hung_up" not in (first, second):
+        each.router.say(b"PROBE", b"9")
+        answers = []
+        while (answer := each.router.answer())[0] != 9:
+            answers.append(answer[0])
+        assert answers == ([] if first in gone else [1]) or second in gone and answers in ([], [1])
+    site.deciding.inbox.together()
+    looked(beside)
+    assert site.deciding.believed() == "in_hand=0 open=0 on_cores=0 calls=0 memory_kb=0"
+
+
+# What a bad input gets
+
+
+@pytest.mark.parametrize("change", [
+    {"kernel": "kernel.internal:7300"}, {"index": "a..b:80"}, {"directory": "127.0.0.1:99999"},
+    {"settings": {"classes": [{"name": "g", "hard_limit_ms": 0}]}},
+    {"settings": {"classes": [{"name": "g", "hard_limit_ms": 1e308}]}},
+    {"settings": {"classes": [{"name": "g", "hard_limit_ms": 100, "aim_ms": -5}]}}])
+def test_what_is_of_no_use_is_one_plain_line_at_start_and_no_change_later(make_site, capsys, change):
+    site = make_site()
+    site.path.write_text(json.dumps(site.handed | change))
+    assert serve.serve(str(site.path)) == 2
+    error = capsys.readouterr().err
+    assert error.startswith("lilacwalk: ") and error.count("\n") == 1
+    if "settings" in change:
+        return  # read at the next start
+    site.start()
+    site.kernel, router = site.link(), site.router()
+    site.deciding.inbox.put((site.deciding.reload, str(site.path)))
+    looked(router)
+    router.submit(1)
+    ends(site, 1, scheduled(site))
+    assert router.answer()[:2] == (1, "done")
+
+
+def test_a_kernel_that_tells_no_usable_age_loses_its_link_and_nothing_else(make_site):
+    site = make_site().start()
+    odd = site.link(ready=False)
+    odd.tell("BOOTED steady inf")
+    assert odd.next() is None
+    site.kernel, router = site.link(), site.router()
+    router.submit(1)
+    ends(site, 1, scheduled(site))
+    assert router.answer()[:2] == (1, "done")
