A cold server advises all its callers together no more than it survives

Cause: Controller._tokens split what can be answered by the heaviest caller's part and gave at least 0.2 to each: with a heavy caller beside many light ones, or with hundreds of callers, the sum was a multiple of what a server survives cold, and rounding to two decimals added up. The operators hold the sum of all sends against the cold budget.

--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -542,7 +542,7 @@
         waiting.sort(key=lambda ex: -ex.group.benefit * (1 - ex.group.skip_benefit))
         share, cores = self.server.call_share, self.server.cores
         # What resumes comes on top of the start limit: up to three quarters of the survivable crowd.
-        most = max(cores + 1, 0.75 * cores * (1 + (self.server.tip_multiple - 1) * self._least_speed()))
+        most = max(cores + 1, 0.75 * self._survived())
         for ex in list(waiting):
             group = ex.group
             again = not ex.called_unsure or group.effect is Effect.REPEATABLE
@@ -601,6 +601,10 @@
     def _least_speed(self) -> float:
         return self.server.cold_share if self._cold() else 1.0
 
+    def _survived(self) -> float:
+        """The crowd on the cores that it survives now."""
+        return self.server.cores * (1 + (self.server.tip_multiple - 1) * self._least_speed())
+
     def _progress(self) -> None:
         self.last_progress = self.now
         if self.stalled:
@@ -646,7 +650,7 @@
             value = 1.0 if away else self.level
         else:
             value = 0.0 if away else self.p_a
-        value = round(value, 2)
+        value = value if advice is Advice.TOKENS and self._cold() else round(value, 2)
         if value != self.said:
             self.said = value
             self.out.advise(value)
@@ -661,4 +665,10 @@
         # are given out, and fewer again at once when they fill.
         calm = self._room() and not self.held
         self.ease = min(EASE_MOST, self.ease * 1.1) if calm else max(1.0, self.ease * 0.8)
-        return max(0.2, self.ease * in_hand * part * (1 - unread))
+        value = max(0.2, self.ease * in_hand * part * (1 - unread))
+        if not self._cold():
+            return value
+        # All callers send at once to who is new: the sum, with those not heard from yet, is what it survives,
+        # and what is rounded up for each would add up. Hurts where few of many callers ever send here.
+        callers = max(self.server.callers, len(self.caller_counts))
+        return min(value, int(10_000 * self._survived() / callers) / 10_000)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lilacwalk.decisions.interface import Effect, Ending, Place, StopMode
+from lilacwalk.decisions.interface import Advice, Effect, Ending, Place, StopMode
 
 
 @pytest.mark.parametrize("effect", list(Effect))
@@ -267,3 +267,20 @@
         host.arrive(caller=caller)
     host.wait(600_000)
     assert not [who for who in host.controller.patience_seen if who[0] is not None]
+
+
+@pytest.mark.parametrize("callers, heard", [(20, 1), (30, 3), (30, 30), (1000, 30)])
+def test_what_a_cold_server_advises_to_all_callers_together_is_what_it_survives(make_host, callers, heard):
+    cold = {"just_started": True, "warm_up": 100_000, "cold_share": 0.25, "tip_multiple": 9.0, "cores": 2}
+    host = make_host(advice=Advice.TOKENS, callers=callers, **cold)
+    survived, advised = 2 * (1 + 8 * 0.25), []
+    for turn in range(60):  # the first caller is a heavy one
+        host.arrive(caller=0)
+        host.arrive(caller=turn % heard)
+        for ex in host.whats("start"):
+            host.finish(ex)
+        host.wait(500, core_use=0.1, run_queue=0.0)
+        advised += host.whats("advise")
+    assert advised and all(0 < value * callers <= survived for value in advised)
+    host.wait(100_000, core_use=0.1, run_queue=0.0)
+    assert host.whats("advise")[-1] * callers > survived  # warm: the crowd is another
