--- a/tests/deploy/test_run_line.py
+++ b/tests/deploy/test_run_line.py
@@ -12,6 +12,8 @@
 
 from tests.conftest import PATIENCE, Site
 
+MODULES = 176  # of a start, with all of Python's own: 160 when this was written, and a tenth more
+
 
 @pytest.fixture
 def running(tmp_path):
@@ -108,3 +110,17 @@
     found, others = sockets_of(running.process.pid)
     assert children(running.process.pid) == [] and not others
     assert sorted(state for _, _, state in found) == sorted(state for _, _, state in before)
+
+
+def test_a_start_loads_little(make_site, monkeypatch):
+    """Restarted by dozens, starts share the cores: imports are most of one. Counted, not timed."""
+    monkeypatch.setenv("PYTHONPROFILEIMPORTTIME", "1")
+    site = make_site(stop_ms=1000).spawn()
+    site.link()
+    site.process.terminate()
+    told = site.process.communicate(timeout=PATIENCE)[1].splitlines()
+    loaded = [line.split("|")[2].strip() for line in told if line.startswith("import time:")][1:]
+    assert "lilacwalk.lifecycle.deciding" in loaded
+    heavy = {"asyncio", "ssl", "hashlib", "ctypes", "email", "http", "multiprocessing", "numpy", "pydantic"}
+    assert not heavy & {name.split(".")[0] for name in loaded}
+    assert len(loaded) <= MODULES
