Two instances with the same names and other settings decide apart, as they should

Need: one customer's settings at another. Read for it: no module-level table, class attribute, cache or default argument of the program is written after it is made (grep; the only counter of a module is a stand-in's).

Change: two stories: 120 batches of one instance give the same decisions with another between them whose class, customer and ids have the same names and whose effect, window, times, cores, stop mode and advice differ; two app servers in one process run the same key once here, twice there.

Measured: both pass; they are stories of what holds, not of a mend.

--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -13,6 +13,7 @@
 import pytest
 from tests.conftest import PATIENCE, Router, SETTINGS
 
+from lilacwalk.benchwire.host import Host
 from lilacwalk.lifecycle import serve
 from lilacwalk.lifecycle.clock import Clock
 from lilacwalk.wire.resp import encode
@@ -562,3 +563,63 @@
     router.submit(1, "once", k="k1")
     ends(site, 1, scheduled(site))
     assert router.answer()[0:4:3] == (1, b"result")
+
+
+# One customer's settings at another
+
+
+def told(host, at, who, *lines):
+    """What the adapter decides for one instance in a batch."""
+    reply = host.batch(at, [(number, line) for number, line in enumerate(lines)])
+    return [line for line in reply if f"who={who} " in line]
+
+
+def a_day(host, who, beside=None):
+    """The same batches for one instance, with those of another between them."""
+    start = ("start who={} nonce64=7 replicas_of_me=4 classes.count=1 classes.0.name=pay classes.0.aim_ms={} "
+             "classes.0.hard_limit_ms={} classes.0.effect={} classes.0.dedup_window_ms={} parties.count=1 "
+             "parties.0.name=acme parties.0.allowance_per_s={} family_info.cpus={} "
+             "family_info.ram_kb=100000.0 family_info.run_factor=2.0 family_info.stop_mode={} "
+             "family_info.advert={} family_info.key_kb=1.0 rules.tip_multiple=4.0 "
+             "rules.drain_grace_ms=1000.0 limits.retry_after=1 limits.max_retry_after_ms={} quantum_ms=2.0")
+    own = start.format(who, 900.0, 2000.0, "keyed", 5000.0, 40.0, 2, "silent", "bias", 800.0)
+    other = start.format(beside, 90.0, 200.0, "safe", 0.0, 4000.0, 16, "drop", "tokens", 8.0)
+    decided = told(host, 10.0, who, own, *([other] if beside else []))
+    for turn in range(1, 120):
+        lines, now = [], 10.0 + 25.0 * turn
+        for each in (who, beside) if beside else (who,):
+            if turn % 3:
+                repeats = f" earlier={turn - 1}" if turn % 3 == 2 else ""
+                lines.append(f"incoming who={each} rid={turn} class=pay owner=acme ttl_ms=2000.0 "
+                             f"footprint=20.0 neighbour={turn % 5}{repeats}")
+            if turn > 6:
+                lines.append(f"work_done who={each} rid={turn - 6} disposition={100 if turn % 7 else 301}")
+            lines.append(f"tick_due who={each} ctx=1 health_info=core_use:0.9,on_cores:3")
+        decided += told(host, now, who, *lines)
+    return decided
+
+
+def test_an_instance_decides_alike_beside_one_with_the_same_names_and_other_settings():
+    alone, beside = Host(), Host()
+    decided = a_day(alone, "a")
+    assert len(decided) > 100 and any("answer_from" in line for line in decided)
+    assert a_day(beside, "a", "b") == decided
+
+
+def test_two_app_servers_in_one_process_keep_their_settings_apart(make_site):
+    """The same names: here twice the same key runs once, there it runs twice."""
+    strict = make_site().start()
+    loose = make_site(settings={"classes": [each | {"effect": "safe", "dedup_window_ms": 0.0}
+                                            for each in SETTINGS["classes"]]}).start()
+    for site in (strict, loose):
+        site.kernel, site.asker = site.link(), site.router()
+        for tag in (1, 2):
+            site.asker.submit(tag, "once", k="k1")
+    first = scheduled(strict)
+    two = [scheduled(loose) for _ in range(2)]
+    assert first != two[0] != two[1]
+    ends(strict, 1, first, b"strict")
+    for number, ident in enumerate(two, 1):
+        ends(loose, number, ident, b"loose")
+    assert {strict.asker.answer()[3] for _ in range(2)} == {b"strict"}
+    assert {loose.asker.answer()[3] for _ in range(2)} == {b"loose"}
