A repeat of what the kernel never started runs, rather than fail for its key

Cause: found by reading. REAP nothing says that nothing was started, as the request was over before SCHED came to it (a WITHDRAW, a time-out at the router). Deciding._run_ended kept the key all the same, with no result, so each repeat within the window was terminated, though nothing had run and its caller still waited. Ruled out: a run that had run under another SCHED, whose own end is read before the fence and takes the exchange out of what is in hand.

Change: then the key is free, as after a SCHED that was rejected.

--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -442,6 +442,8 @@
         else:
             self.out.answer(each, Final.TERMINATED)
         self.calls.append((self.controller.finished, each.ex, ending))
+        if ending is Ending.MOOT:
+            self._free_key(each)
         self.forget(each, bytes(result) if ending is Ending.OK and each.kept_as else None)
 
     def _asks(self, notice: int, ident: str, body: memoryview | bytes) -> None:
@@ -466,10 +468,15 @@
         if command == "SCHED" or command in ("IODONE", "NOIO") and not each.sent_again:
             self.out.answer(each, Final.TERMINATED)
             self.calls.append((self.controller.finished, each.ex, Ending.MOOT))
-            if command == "SCHED" and each.kept_as is not None:
-                self.kept.drop(each.kept_as, each.ex)  # whose key it is will come and run
+            if command == "SCHED":
+                self._free_key(each)
             self.forget(each, None)
 
+    def _free_key(self, each: InHand) -> None:
+        """The kernel says that nothing ran: who comes under its key next is no repeat, and may run."""
+        if each.kept_as is not None:
+            self.kept.drop(each.kept_as, each.ex)
+
     def forget(self, each: InHand, result: bytes | None) -> None:
         """Its run is over, or there was none. What waited for its result is answered from it."""
         self.hand.drop(each)
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -336,6 +336,18 @@
     assert order.index("due") <= 100
 
 
+def test_a_repeat_of_what_the_kernel_never_started_runs(site):
+    router = site.router()
+    router.submit(1, "once", k="k1")
+    ident = scheduled(site)
+    router.say(b"WITHDRAW", b"1")  # it is over before the kernel comes to it
+    site.kernel.tell(f"REAP 1 {ident} nothing 0 0", b"")
+    looked(router)
+    router.submit(2, "once", k="k1")
+    ends(site, 2, scheduled(site))
+    assert router.answer()[0:4:3] == (2, b"result")
+
+
 # What ends an exchange, two at a time
 
 
