--- a/benchmarks/bgp.py
+++ b/benchmarks/bgp.py
@@ -235,7 +235,7 @@
     if name != "off":
         router.wait_held("192.0.2.10/32")
     feed = updates(100_000) if "100,000" in name else []
-    tills = [Till(deciding.door.address) for _ in range(8)]
+    tills = [Till(deciding.listener.address) for _ in range(8)]
     before, until, sent, told = len(passes), time.monotonic() + seconds, 0, 0
     began = time.monotonic()
     while (now := time.monotonic()) < until:
--- a/benchmarks/bgp_restarts.py
+++ b/benchmarks/bgp_restarts.py
@@ -53,11 +53,11 @@
         self.router = BgpRouter(state=lambda: self.state)
         self.orders = orders_of(ORDERS % self.router.address[1], "benchmark").announce
         self.restarts = self.changes = self.breaches = self.drains = self.crashes = 0
-        self.late_doors = 0
+        self.late_listeners = 0
         self.announced: list[float] = []
         self.withdrawn: list[float] = []
         self.drained: list[float] = []
-        self.door: list[float] = []
+        self.listener: list[float] = []
 
     def told(self, speaker: Speaker, node: Node) -> float:
         self.changes += 1
@@ -74,7 +74,7 @@
     def life(self) -> None:
         router, rng = self.router, self.rng
         sessions, count = router.count("up"), router.count("announced")
-        speaker = Speaker(self.orders, rng.getrandbits(32), lambda wait: self.door.append(
+        speaker = Speaker(self.orders, rng.getrandbits(32), lambda wait: self.listener.append(
             time.monotonic() + wait / 10_000))
         speaker.start()
         self.restarts += 1
@@ -108,7 +108,7 @@
             speaker.over.wait(10.0)
         elif how < 0.6:
             self.drains += 1
-            held, before = bool(router.held), len(self.door)
+            held, before = bool(router.held), len(self.listener)
             began, self.state = time.monotonic(), "leaving"
             self.changes += 1
             speaker.leave(3_000)
@@ -116,9 +116,9 @@
             gone = time.monotonic()
             if held:
                 self.drained.append(gone - began)
-            while len(self.door) == before:
+            while len(self.listener) == before:
                 speaker.ask(lambda each: None)
-            self.late_doors += gone > self.door[-1]
+            self.late_listeners += gone > self.listener[-1]
             if rng.random() < 0.3:
                 router.drop()
                 router.wait(lambda seen=router.count("up"): router.count("up") > seen, "a session")
@@ -148,7 +148,7 @@
     table.rows("what was done", ("what", "count"), [
         ("restarts", run.restarts), ("changes of state", run.changes), ("drains", run.drains),
         ("crashes", run.crashes), ("announcements outside ready", run.breaches),
-        ("doors that closed before the withdrawal", run.late_doors)])
+        ("listeners that closed before the withdrawal", run.late_listeners)])
     table.rows("from the state's change to the message at the router", (
         "what", "count", "median ms", "99th ms", "most ms"), [
         (name, len(rows), quantile(rows, .5) * 1000, quantile(rows, .99) * 1000, max(rows) * 1000)
@@ -157,7 +157,7 @@
                            ("leaving to withdrawn (5 ms of it less wanted)", run.drained))])
     table.say(f"took {time.monotonic() - began:.0f} s")
     table.write()
-    return 1 if run.breaches or run.late_doors else 0
+    return 1 if run.breaches or run.late_listeners else 0
 
 
 if __name__ == "__main__":
--- a/benchmarks/edge.py
+++ b/benchmarks/edge.py
@@ -386,7 +386,7 @@
     for part in parts:
         part.start()
     edge = deciding.devices.edge.address[1] if devices else 0
-    print(json.dumps([deciding.door.address[1], edge]), flush=True)
+    print(json.dumps([deciding.listener.address[1], edge]), flush=True)
     sizes = []
     until = time.monotonic() + seconds
     while time.monotonic() < until:
@@ -498,12 +498,12 @@
         stdout=subprocess.PIPE,
         text=True,
     )
-    door, edge = json.loads(server.stdout.readline())
+    listener, edge = json.loads(server.stdout.readline())
     runs, workers = [], 4
     routers = total * (1 - share)
     runs.append(
         subprocess.Popen(
-            [sys.executable, "-m", "benchmarks.edge", "--routers", str(door), str(routers), str(seconds)],
+            [sys.executable, "-m", "benchmarks.edge", "--routers", str(listener), str(routers), str(seconds)],
             stdout=subprocess.PIPE,
             text=True,
         )
--- a/lilacwalk/bgp/announcing.py
+++ b/lilacwalk/bgp/announcing.py
@@ -6,7 +6,7 @@
 sick, standing still as it was, then less wanted, then withdrawn, each after a time without becoming well;
 with a last resort, sick (never standing still) stays at that instead of withdrawn;
 where a view of the fleet is kept, less wanted at most, unless this node is among those that may go
-leaving              the graceful shutdown community, then withdrawn, then the door may close: never again
+leaving              the graceful shutdown community, then withdrawn, then the listener may close: never again
 gone                 withdrawn
 
 A withdrawal waits for nothing. An announcement waits for all of it: it is the one step that can do harm."""
@@ -86,19 +86,19 @@
         if before is Node.READY and self.level is Level.NONE and node is not Node.GONE:
             self.penalty.add(FLAP, now)  # not announced, yet it flapped: steady is proven by staying ready
 
-    def leave(self, now: int, door_by: int | None) -> None:
-        """A drain, whose door closes at the latest at `door_by`: the withdrawal comes early enough that it
-        has spread by then; the time of being less wanted gives way before the time of spreading does."""
+    def leave(self, now: int, listener_by: int | None) -> None:
+        """A drain, whose listener closes at the latest at `listener_by`: the withdrawal comes early enough to
+        have spread by then; the time of being less wanted gives way before the time of spreading does."""
         if self.node in (Node.LEAVING, Node.GONE):
             return
         self.node, self.since, self.leaving_since = Node.LEAVING, now, now
         wanted = now + self.orders.graceful_shutdown
-        latest = wanted if door_by is None else door_by - self.orders.propagation
+        latest = wanted if listener_by is None else listener_by - self.orders.propagation
         self.withdraw_at = max(now, min(wanted, latest))
 
     @property
-    def door_at(self) -> int:
-        """From when on the door may close; of a node that was never announced, at once."""
+    def listener_at(self) -> int:
+        """From when on the listener may close; of a node that was never announced, at once."""
         return self.withdraw_at + self.orders.propagation
 
     def unwatched(self, now: int) -> None:
--- a/lilacwalk/bgp/speaker.py
+++ b/lilacwalk/bgp/speaker.py
@@ -141,18 +141,18 @@
 
 
 class Speaker:
-    """`on_door`: told, in the speaker's thread, once the withdrawals of a drain have been sent, how long from
-    then the door must stay open, in tenths of a ms."""
+    """`on_listener`: told, in the speaker's thread, once the withdrawals of a drain have been sent, how long
+    from then the listener must stay open, in tenths of a ms."""
 
-    def __init__(self, orders: Announce, seed: int, on_door: Callable[[int], None] = lambda wait: None,
+    def __init__(self, orders: Announce, seed: int, on_listener: Callable[[int], None] = lambda wait: None,
                  bounds: Bounds = Bounds(), clock: Callable[[], int] = time.monotonic_ns,
                  on_level: Callable[[Level], None] | None = None) -> None:
-        self.orders, self.bounds, self.on_door, self.clock = orders, bounds, on_door, clock
+        self.orders, self.bounds, self.on_listener, self.clock = orders, bounds, on_listener, clock
         self.inbox: SimpleQueue[tuple] = SimpleQueue()
         self.links: dict[int, Link] = {}
         self.going: dict[Link, None] = {}  # closed by us, their readers not yet at an end
         self.unsent: dict[Link, None] = {}
-        self.door_told = False
+        self.listener_told = False
         self.on_level, self.level = on_level, Level.NONE  # told in the speaker's thread when it changes
         self.over = threading.Event()
         self.speaking = Speaking(orders, seed, self.now())
@@ -168,7 +168,7 @@
     def start(self) -> None:
         self.thread.start()
         if self.listener is not None:
-            threading.Thread(target=self._accept, name="bgp-door", daemon=True).start()
+            threading.Thread(target=self._accept, name="bgp-listener", daemon=True).start()
 
     def node(self, state: Node) -> None:
         self.inbox.put((self._node, state))
@@ -189,9 +189,9 @@
         """What the view of the fleet says of a withdrawal for sickness."""
         self.inbox.put((self._floor, may_go))
 
-    def leave(self, door_in: int | None) -> None:
-        """A drain; the door closes at the latest `door_in` tenths of a ms from now."""
-        self.inbox.put((self._leave, door_in))
+    def leave(self, listener_in: int | None) -> None:
+        """A drain; the listener closes at the latest `listener_in` tenths of a ms from now."""
+        self.inbox.put((self._leave, listener_in))
 
     def reload(self, orders: Announce) -> None:
         self.inbox.put((self._reload, orders))
@@ -260,10 +260,10 @@
         if self.on_level is not None and level is not self.level:
             self.on_level(level)
         self.level = level
-        door_at = self.speaking.door_at
-        if door_at is not None and not self.door_told and self.speaking.decision.level == 0:
-            self.door_told = True
-            self.on_door(max(0, door_at - self.now()))
+        listener_at = self.speaking.listener_at
+        if listener_at is not None and not self.listener_told and self.speaking.decision.level == 0:
+            self.listener_told = True
+            self.on_listener(max(0, listener_at - self.now()))
 
     def _do(self, action: Action) -> None:
         if action.do is Do.LOG:
@@ -333,9 +333,9 @@
     def _floor(self, may_go: bool) -> None:
         self.speaking.floor(may_go, self.now())
 
-    def _leave(self, door_in: int | None) -> None:
+    def _leave(self, listener_in: int | None) -> None:
         now = self.now()
-        self.speaking.leave(now, None if door_in is None else now + door_in)
+        self.speaking.leave(now, None if listener_in is None else now + listener_in)
 
     def _reload(self, orders: Announce) -> None:
         if orders.listen != self.orders.listen or orders.socket != self.orders.socket:
--- a/lilacwalk/bgp/speaking.py
+++ b/lilacwalk/bgp/speaking.py
@@ -86,15 +86,15 @@
             peer.want(self._routes(peer.peer))
             self.actions += peer.taken()
 
-    def leave(self, now: int, door_by: int | None) -> None:
+    def leave(self, now: int, listener_by: int | None) -> None:
         self._at(now)
-        self.announcing.leave(now, door_by)
+        self.announcing.leave(now, listener_by)
         self._follow(now)
 
     @property
-    def door_at(self) -> int | None:
-        """Once leaving: when the door may close, at the earliest."""
-        return self.announcing.door_at if self.announcing.node in (Node.LEAVING, Node.GONE) else None
+    def listener_at(self) -> int | None:
+        """Once leaving: when the listener may close, at the earliest."""
+        return self.announcing.listener_at if self.announcing.node in (Node.LEAVING, Node.GONE) else None
 
     def end(self, now: int) -> None:
         """The last words: all is withdrawn, then every session ends with a cease and the operator's text."""
--- a/lilacwalk/bgp/terms.py
+++ b/lilacwalk/bgp/terms.py
@@ -173,7 +173,7 @@
     ready_for: Time = SECOND // 5
     hold_time: Annotated[int, unit("duration", ge=0, le=65_535 * SECOND)] = 9 * SECOND
     graceful_shutdown: Time = SECOND // 10  # less wanted for so long before a drain's withdrawal
-    propagation: Time = 3 * SECOND // 10  # from the withdrawal to the closing of the door
+    propagation: Time = 3 * SECOND // 10  # from the withdrawal to the closing of the listener
     shutdown_text: Annotated[str, Meta(max_length=128)] = "drained"
     damping: Damping = Damping()
     sick: Sick = Sick()
--- a/lilacwalk/edge/host.py
+++ b/lilacwalk/edge/host.py
@@ -116,7 +116,7 @@
         self.bad = Tally()
         self.over = threading.Event()
         self.ending = False
-        self.idle = False  # after the door was shut: nobody is left; set here, read by the deciding thread
+        self.idle = False  # the listener is shut and nobody left; set here, read by the deciding thread
         self.listener = listen(orders.listen, BACKLOG)
         self.coap = self.datagrams = None
         if orders.coap is not None:
--- a/lilacwalk/edge/serving.py
+++ b/lilacwalk/edge/serving.py
@@ -9,7 +9,7 @@
 
 from lilacwalk.decisions.interface import Effect
 from lilacwalk.edge import frames, remembering
-from lilacwalk.edge.door import Arrivals
+from lilacwalk.edge.arrivals import Arrivals
 from lilacwalk.edge.frames import Ask, Bye, Cancel, Got, Hello, Leaving, Ping, Pong, Refused, Welcome
 from lilacwalk.edge.link import Link
 from lilacwalk.edge.rates import Incoming
@@ -455,7 +455,7 @@
         self._send(connection, frames.encode(Leaving(self.leaving // 10, len(session.open))))
 
     def close_all(self) -> None:
-        """The door closes: those that wait for nothing go now, the others with their last answer."""
+        """The listener closes: those that wait for nothing go now, the others with their last answer."""
         self.shut = True
         self.close_idle()
 
--- a/lilacwalk/fronts/resp2.py
+++ b/lilacwalk/fronts/resp2.py
@@ -10,7 +10,7 @@
 from lilacwalk.memory.records import Asked, Final, Reply
 from lilacwalk.wire import routers
 from lilacwalk.wire.outbox import hang_up
-from lilacwalk.wire.routers import Connection, Door
+from lilacwalk.wire.routers import Connection, Listener
 
 log = logging.getLogger(__name__)
 WORDS = {Final.COMPLETED: b"done", Final.DENIED: b"later", Final.TERMINATED: b"error"}
@@ -19,16 +19,16 @@
 class Resp2:
     name = "resp2"
 
-    def __init__(self, host: Host, door: Door, most: int, limits: Limits | None = None,
+    def __init__(self, host: Host, listener: Listener, most: int, limits: Limits | None = None,
                  source: str = "") -> None:
         """`limits`: its own where they are not the host's. `source`: the site whose users come in here;
         empty: home traffic."""
-        self.host, self.door, self.most, self.in_hand = host, door, most, 0
+        self.host, self.listener, self.most, self.in_hand = host, listener, most, 0
         self.limits, self.source = limits or host.limits, source
         self.connections: dict[Connection, None] = {}
-        self.door_over = False  # all that it accepted has been told
-        door.on_opened, door.on_messages, door.on_ended = self.opened, self.messages, self.ended
-        door.on_over = self._door_over
+        self.listener_over = False  # all that it accepted has been told
+        listener.on_opened, listener.on_messages, listener.on_ended = self.opened, self.messages, self.ended
+        listener.on_over = self._listener_over
 
     # What the deciding thread asks of a front
 
@@ -39,7 +39,7 @@
 
     def bad(self, caller: Connection, tag: int, reason: str) -> None:
         """Answered on its tag, and told like all that peers do wrong: few lines, however many there are."""
-        if count := self.door.bad_messages.due():
+        if count := self.listener.bad_messages.due():
             log.warning("event=bad_message count=%d peer=%s reason=%r", count, caller.peer, reason)
         if tag:
             self.say(caller, tag, b"error")
@@ -52,14 +52,14 @@
         pass
 
     def shut(self) -> None:
-        self.door.shut()
+        self.listener.shut()
         for connection in self.connections:
             self._ask_to_close(connection)
 
     def let_go(self, now: int, late: bool) -> None:
-        """Behind the shut door: routers that rest on though asked to close are half closed from here, once
-        nothing of theirs is open, unread or unsent."""
-        self.door.shut()
+        """Once the listener is shut: routers that rest on though asked to close are half closed from here,
+        when nothing of theirs is open, unread or unsent."""
+        self.listener.shut()
         for each in self.connections:
             if each.cut:
                 self._linger(each, now)
@@ -67,10 +67,10 @@
                 each.finish(now)
 
     def done(self) -> bool:
-        return self.door_over and not self.connections
+        return self.listener_over and not self.connections
 
-    def _door_over(self) -> None:
-        self.door_over = True
+    def _listener_over(self) -> None:
+        self.listener_over = True
 
     def flushed(self) -> bool:
         return all(connection.outbox.flushed for connection in self.connections)
@@ -93,7 +93,7 @@
         self.host.connected()
         if len(self.connections) > self.limits.crowded:
             self._make_room()
-        if self.door.shut_down:
+        if self.listener.shut_down:
             self._ask_to_close(connection)
 
     def ended(self, connection: Connection) -> None:
@@ -101,7 +101,7 @@
         self.connections.pop(connection, None)
         connection.cut = True
         connection.outbox.end()
-        self.door.left()
+        self.listener.left()
         for each in list(connection.open.values()):
             self.host.gone(each)
 
--- a/lilacwalk/lifecycle/announcer.py
+++ b/lilacwalk/lifecycle/announcer.py
@@ -1,5 +1,5 @@
 """The speaker beside the deciding thread: told the node's state after each pass in which it changed, and
-asked for nothing but when a drain's door may close. Loaded only where the operator's file has an announce
+asked for nothing but when a drain's listener may close. Loaded only where the operator's file has an announce
 block."""
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
         """`now`: the deciding thread's clock; `on_out`: told in that thread whether this node is withdrawn
         for sickness. Raises OSError where it cannot listen."""
         self.inbox, self.now, self.on_out = inbox, now, on_out
-        self.speaker = Speaker(orders, seed, self._door, on_level=self._level)
+        self.speaker = Speaker(orders, seed, self._listener, on_level=self._level)
         try:
             self.answering = answering(self.speaker, orders.socket) if orders.socket is not None else None
         except OSError:
@@ -31,7 +31,7 @@
                 self.speaker.listener.close()
             raise
         self.told: Node | None = None
-        self.door_at: int | None = None  # on the deciding thread's clock, once the withdrawal has left
+        self.listener_at: int | None = None  # on the deciding thread's clock, once the withdrawal has left
 
     def start(self) -> None:
         self.speaker.start()
@@ -47,9 +47,9 @@
             self.told = state
             self.speaker.node(state)
 
-    def leave(self, door_in: int) -> None:
+    def leave(self, listener_in: int) -> None:
         self.told = Node.LEAVING
-        self.speaker.leave(door_in)
+        self.speaker.leave(listener_in)
 
     def floor(self, may_go: bool) -> None:
         self.speaker.floor(may_go)
@@ -78,15 +78,15 @@
     def _levelled(self, level: Level) -> None:
         self.on_out(level is Level.NONE and self.told in UNWELL)
 
-    def _door(self, wait: int) -> None:
+    def _listener(self, wait: int) -> None:
         """In the speaker's thread: a fact for the deciding one."""
         self.inbox.put((self._withdrawn, wait))
 
     def _withdrawn(self, wait: int) -> None:
-        self.door_at = self.now() + wait
+        self.listener_at = self.now() + wait
 
-    def door_may_close(self, now: int) -> bool:
-        return self.speaker.over.is_set() or self.door_at is not None and now >= self.door_at
+    def listener_may_close(self, now: int) -> bool:
+        return self.speaker.over.is_set() or self.listener_at is not None and now >= self.listener_at
 
     def end(self, patience: float) -> None:
         self.speaker.end(patience)
--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -25,7 +25,7 @@
 from lilacwalk.wire.index import Call, Index, Line
 from lilacwalk.wire.kernel import KernelLink
 from lilacwalk.wire.outbox import Outbox
-from lilacwalk.wire.routers import Door
+from lilacwalk.wire.routers import Listener
 
 if TYPE_CHECKING:
     from lilacwalk.bgp.terms import Announce
@@ -64,10 +64,10 @@
     """Each pass drains what came, gives it to the controller as one round and sends what was decided. A pass
     takes so much at most that what is due by then is never late for the length of the queue."""
 
-    def __init__(self, server: AppServer, limits: Limits, clock: Clock, inbox: SimpleQueue, door: Door,
-                 kernel_link: KernelLink, index: Index, catalog: Catalog) -> None:
+    def __init__(self, server: AppServer, limits: Limits, clock: Clock, inbox: SimpleQueue,
+                 listener: Listener, kernel_link: KernelLink, index: Index, catalog: Catalog) -> None:
         self.server, self.limits, self.clock, self.inbox = server, limits, clock, inbox
-        self.door, self.kernel_link, self.index, self.catalog = door, kernel_link, index, catalog
+        self.listener, self.kernel_link, self.index, self.catalog = listener, kernel_link, index, catalog
         self.now = clock.now()
         self.groups = {group.name: group for group in server.groups}
         self.customers = {customer.name: customer for customer in server.customers}
@@ -95,7 +95,7 @@
         self.may_go = True  # for sickness, as the view says; without one nothing speaks against it
         self.warm_at = 0  # when a cold start is over
         self.ended = False
-        self.resp2 = Resp2(self, door, limits.in_hand)
+        self.resp2 = Resp2(self, listener, limits.in_hand)
         self.fronts: list[Front] = [self.resp2]
         kernel_link.on_linked, kernel_link.on_notices = self._linked, self._notices
         kernel_link.on_lost = self._lost
@@ -600,7 +600,7 @@
             return
         from lilacwalk.lifecycle.guests import GuestsPart
         try:
-            self.guests = GuestsPart(self, sites, site, self.server, self.limits, self.inbox, self.door)
+            self.guests = GuestsPart(self, sites, site, self.server, self.limits, self.inbox, self.listener)
         except OSError as error:
             raise CannotUseError(f"cannot listen for guests: {error.strerror or error}") from None
         self.fronts.extend(self.guests.fronts)
@@ -695,17 +695,17 @@
         for front in self.fronts:
             front.leave(self.now)
         grace_over = self.now + self.server.drain_grace + self.limits.look_at_idle
-        door_at = min(grace_over, self.stop_at - self.limits.flush)
+        listener_at = min(grace_over, self.stop_at - self.limits.flush)
         if self.announcer is not None:
-            self.announcer.leave(door_at - self.now)
-        self.at(door_at, self._shut_the_door)
+            self.announcer.leave(listener_at - self.now)
+        self.at(listener_at, self._shut_the_listener)
 
-    def _shut_the_door(self) -> None:
+    def _shut_the_listener(self) -> None:
         """From here on nothing new would be run: a refused connection says so for less than a denial. Where
         the service is announced, its withdrawal must have left, and have had its time to spread."""
-        waits = self.announcer is not None and not self.announcer.door_may_close(self.now)
+        waits = self.announcer is not None and not self.announcer.listener_may_close(self.now)
         if waits and self.now < self.stop_at - self.limits.flush:
-            self.at(self.now + SECOND // 100, self._shut_the_door)
+            self.at(self.now + SECOND // 100, self._shut_the_listener)
             return
         if self.announcer is not None:
             self.announcer.end(0.0)
--- a/lilacwalk/lifecycle/guests.py
+++ b/lilacwalk/lifecycle/guests.py
@@ -17,7 +17,7 @@
 from lilacwalk.limits import Limits
 from lilacwalk.sites.terms import Sites
 from lilacwalk.sites.yielding import Around, as_guest, kind_of, Turned, Yielding
-from lilacwalk.wire.routers import Door
+from lilacwalk.wire.routers import Listener
 
 log = logging.getLogger(__name__)
 PART = 4  # guests' fronts together may have one in so many of the connections, and of what is in hand
@@ -25,23 +25,23 @@
 
 class GuestsPart:
     def __init__(self, host: Host, orders: Sites, site: str, server: AppServer, limits: Limits,
-                 inbox: SimpleQueue, door: Door) -> None:
-        """`site`: this node's own. `door`: the platform's, whose connections the guests' count among. Raises
-        OSError, and then nothing is left open."""
+                 inbox: SimpleQueue, listener: Listener) -> None:
+        """`site`: this node's own. `listener`: the platform's, whose connections the guests' count among.
+        Raises OSError, and then nothing is left open."""
         self.orders, self.site, self.server = orders, site, server
         self.samples: list[float] = []  # of the cores' use, since the last step
         self.finished = 0
         self.shown: dict = {}  # as of the last step, taken whole by whoever asks
         self.fronts: list[Resp2] = []
-        self.doors: list[Door] = []
+        self.listeners: list[Listener] = []
         listening = [each for each in orders.site if each.guests is not None and each.name != site]
         crowded = max(1, limits.connections // PART // max(1, len(listening)))
         most = max(1, limits.in_hand // PART // max(1, len(listening)))
         own = replace(limits, connections=crowded, crowded=crowded)
         try:
             for each in listening:
-                self.doors.append(Door(each.guests, own, inbox, door.room))
-                self.fronts.append(Resp2(host, self.doors[-1], most, own, each.name))
+                self.listeners.append(Listener(each.guests, own, inbox, listener.room))
+                self.fronts.append(Resp2(host, self.listeners[-1], most, own, each.name))
         except OSError:
             self.shut()
             raise
@@ -65,13 +65,13 @@
         self.yielding.kinds = {group.name: kind_of(group, orders) for group in self.server.groups}
 
     def start(self) -> None:
-        for front, door in zip(self.fronts, self.doors, strict=True):
-            door.start()
-            log.info("event=guests_listen site=%s listen=%s:%d", front.source, *door.address)
+        for front, listener in zip(self.fronts, self.listeners, strict=True):
+            listener.start()
+            log.info("event=guests_listen site=%s listen=%s:%d", front.source, *listener.address)
 
     def shut(self) -> None:
-        for door in self.doors:
-            door.end()
+        for listener in self.listeners:
+            listener.end()
 
     def rest(self) -> None:
         """The plan is gone: what still comes in is home traffic by worth, until it is over."""
--- a/lilacwalk/lifecycle/serve.py
+++ b/lilacwalk/lifecycle/serve.py
@@ -17,7 +17,7 @@
 from lilacwalk.wire.catalog import Catalog
 from lilacwalk.wire.index import Index
 from lilacwalk.wire.kernel import KernelLink
-from lilacwalk.wire.routers import Door
+from lilacwalk.wire.routers import Listener
 
 log = logging.getLogger(__name__)
 STACK = 131_072  # readers and writers go a few calls deep; Python's own frames live on the heap
@@ -31,15 +31,15 @@
     limits = replace(limits, **other_limits)
     parties = addresses(handed)
     try:
-        door = Door(parties["listen"], limits, inbox)
+        listener = Listener(parties["listen"], limits, inbox)
     except OSError as error:
         raise CannotUseError(f"cannot listen on {handed['listen']}: {error.strerror}") from None
     gauge_names = [str(name) for name in row(section(handed["settings"], "family_info"), "gauges")]
     kernel_link = KernelLink(parties["kernel"], limits, inbox, gauge_names)
     index = Index(parties.get("index"), limits, inbox)
     catalog = Catalog(parties["directory"], str(handed.get("name", "")))
-    deciding = Deciding(server, limits, Clock(), inbox, door, kernel_link, index, catalog)
-    return deciding, [door, kernel_link]
+    deciding = Deciding(server, limits, Clock(), inbox, listener, kernel_link, index, catalog)
+    return deciding, [listener, kernel_link]
 
 
 def serve(path: str, own: Callable | None = None) -> int:
@@ -63,7 +63,8 @@
         return 2
     for each in threads:
         each.start()
-    log.info("event=started listen=%s:%d connections=%d", *deciding.door.address, deciding.limits.connections)
+    log.info("event=started listen=%s:%d connections=%d", *deciding.listener.address,
+             deciding.limits.connections)
     try:
         deciding.run()
     except Exception:
--- a/lilacwalk/memory/records.py
+++ b/lilacwalk/memory/records.py
@@ -86,7 +86,7 @@
     def bad(self, caller: Caller, tag: int, reason: str) -> None: ...
     def tick(self, now: int, stood_still: bool) -> None: ...
     def leave(self, now: int) -> None: ...  # a drain has begun: what comes is still taken
-    def shut(self) -> None: ...  # the door closes: callers are asked to go
-    def let_go(self, now: int, late: bool) -> None: ...  # behind the shut door, again and again
+    def shut(self) -> None: ...  # the listener closes: callers are asked to go
+    def let_go(self, now: int, late: bool) -> None: ...  # behind the shut listener, again and again
     def done(self) -> bool: ...  # nobody is left
     def flushed(self) -> bool: ...  # all that was answered has left
--- a/lilacwalk/standins/outage.py
+++ b/lilacwalk/standins/outage.py
@@ -107,11 +107,11 @@
                       calls=CALLS if self.index is not None else ())
 
     def _sites(self, load: float) -> str:
-        door = "        guests 127.0.0.1:0\n" if self.guests else ""
+        guests = "        guests 127.0.0.1:0\n" if self.guests else ""
         blocks = "\n".join(
             f"    site {each} {{\n        cores {self.nodes}\n        load {load * self.nodes:.3f}\n"
             + "\n".join(f"        stand-in {other} 5ms" for other in SITES if other != each)
-            + f"\n        service {service(each)}\n{door}    }}"
+            + f"\n        service {service(each)}\n{guests}    }}"
             for each in SITES)
         kinds = "".join(
             f"    class {group} {{\n        benefit {benefit}\n        share {MIX.count(group) / len(MIX)}\n"
--- a/lilacwalk/wire/routers.py
+++ b/lilacwalk/wire/routers.py
@@ -94,13 +94,13 @@
     """One router's connection. A thread reads it; what was read goes onto the deciding thread's queue in
     batches, a few at a time, so that a router that floods waits for itself."""
 
-    __slots__ = ("sock", "peer", "limits", "inbox", "door", "outbox", "ahead", "cut", "taking", "begun",
+    __slots__ = ("sock", "peer", "limits", "inbox", "listener", "outbox", "ahead", "cut", "taking", "begun",
                  "open", "front", "last_used", "closing_since", "finished_at", "waited_on", "waited_since",
                  "sound")
 
     def __init__(self, sock: socket.socket, peer: str, limits: Limits, inbox: SimpleQueue,
-                 door: Door) -> None:
-        self.sock, self.peer, self.limits, self.inbox, self.door = sock, peer, limits, inbox, door
+                 listener: Listener) -> None:
+        self.sock, self.peer, self.limits, self.inbox, self.listener = sock, peer, limits, inbox, listener
         self.outbox = Outbox(sock, limits.outbox, "router")
         self.ahead: SimpleQueue[None] = SimpleQueue()  # leave to read on: lighter and faster than a semaphore
         for _ in range(limits.batches_ahead):
@@ -146,7 +146,7 @@
         try:
             self._read()
         except FrameError as error:
-            if count := self.door.bad_framing.due():
+            if count := self.listener.bad_framing.due():
                 log.warning("event=connection_ended count=%d peer=%s reason=framing detail=%r",
                             count, self.peer, str(error))
         except OSError:
@@ -155,7 +155,7 @@
             log.exception("event=thread_failed thread=router-reader peer=%s", self.peer)
         finally:
             hang_up(self.sock)
-            self.inbox.put((self.door.on_ended, self))
+            self.inbox.put((self.listener.on_ended, self))
 
     def _read(self) -> None:
         limits = self.limits
@@ -181,7 +181,7 @@
 
     def _hand_over(self, messages: list[tuple]) -> None:
         self.ahead.get()
-        self.inbox.put((self.door.on_messages, self, messages))
+        self.inbox.put((self.listener.on_messages, self, messages))
 
     def _decode(self, parts: list[memoryview | None]) -> tuple:
         """(verb, tag, what it is about); a verb that is empty stands for a message to be answered `error`."""
@@ -199,12 +199,12 @@
             return "", int(tag), str(error)
 
 
-class Door:
+class Listener:
     """Accepts connections, as many as the limits allow; the others wait in the system's own line."""
 
     def __init__(self, address: tuple[str, int], limits: Limits, inbox: SimpleQueue,
                  room: threading.Semaphore | None = None) -> None:
-        """`room`: of another door, among whose connections this one's count. Raises OSError."""
+        """`room`: of another listener, among whose connections this one's count. Raises OSError."""
         self.limits, self.inbox = limits, inbox
         self.on_opened: Callable
         self.on_messages: Callable
@@ -225,7 +225,7 @@
         return self.sock.getsockname()
 
     def start(self) -> None:
-        threading.Thread(target=self._run, name="door", daemon=True).start()
+        threading.Thread(target=self._run, name="listener", daemon=True).start()
 
     def left(self) -> None:
         self.room.release()
@@ -268,8 +268,8 @@
                     continue
                 self._take(sock, f"{host}:{port}")
         except Exception:
-            log.exception("event=thread_failed thread=door")
-            self.inbox.put((None, "the door failed"))
+            log.exception("event=thread_failed thread=listener")
+            self.inbox.put((None, "the listener failed"))
         finally:
             self.sock.close()
             self.inbox.put((self.on_over,))
--- a/tests/bgp/test_announcing.py
+++ b/tests/bgp/test_announcing.py
@@ -96,14 +96,14 @@
     assert Life(LAST).be(Node.READY, 100).be(Node.SICK, 500).be(Node.READY, 60).level is Level.NORMAL
 
 
-def test_a_drain_is_less_wanted_then_withdrawn_then_the_door_may_close_and_nothing_comes_back():
+def test_a_drain_is_less_wanted_then_withdrawn_then_the_listener_may_close_and_nothing_comes_back():
     life = Life().be(Node.READY, 100)
     life.machine.leave(life.now, None)
     began = life.now
     life.look()
     assert life.level is Level.LEAVING
     life.wait(30)
-    assert life.level is Level.NONE and life.machine.door_at == began + 80 * MS
+    assert life.level is Level.NONE and life.machine.listener_at == began + 80 * MS
     for state in (Node.READY, Node.COLD, Node.READY, Node.SICK):
         assert life.be(state, 1000).level is Level.NONE
 
@@ -117,16 +117,17 @@
     assert life.wait(30).level is Level.NONE
 
 
-@pytest.mark.parametrize("grace, less_wanted, door", [(500, 30, 80), (60, 10, 60), (50, 0, 50), (20, 0, 50)])
+@pytest.mark.parametrize("grace, less_wanted, listener", [
+    (500, 30, 80), (60, 10, 60), (50, 0, 50), (20, 0, 50)])
 def test_a_short_grace_takes_from_the_time_of_being_less_wanted_never_from_the_spreading(
-        grace, less_wanted, door):
+        grace, less_wanted, listener):
     life = Life().be(Node.READY, 100)
     began = life.now
     life.machine.leave(began, began + grace * MS)
     life.look()
     life.wait(1000)
     gone = next(at for at, level in life.levels if level is Level.NONE and at >= began)
-    assert (gone - began, life.machine.door_at - began) == (less_wanted * MS, door * MS)
+    assert (gone - began, life.machine.listener_at - began) == (less_wanted * MS, listener * MS)
 
 
 def test_a_node_that_flaps_every_100_ms_for_a_minute_is_announced_a_handful_of_times_and_then_proves_itself():
--- a/tests/bgp/test_app_server_announces.py
+++ b/tests/bgp/test_app_server_announces.py
@@ -61,7 +61,7 @@
     assert router.seen[-1].message.withdrawn and router.count("announced") == 2  # less wanted in between
 
 
-def test_a_drain_withdraws_first_and_closes_its_door_only_when_that_has_spread(make_site, make_router):
+def test_a_drain_withdraws_first_and_closes_its_listener_only_when_that_has_spread(make_site, make_router):
     router = make_router()
     site = make_site(router, settings={"rules": {"drain_grace_ms": 300.0, "tip_multiple": 8.0}})
     site.kernel = site.link()
@@ -71,7 +71,7 @@
     ident = site.kernel.expect("SCHED")[0][1]
     site.deciding.inbox.put((site.deciding.leave,))
     router.wait_held()
-    late = site.router()  # what still comes is taken: the door is open
+    late = site.router()  # what still comes is taken: the listener is open
     late.say(b"PROBE", b"1", b"x=0")
     assert late.answer()[1] == "sick"
     site.kernel.tell(f"REAP 1 {ident} success 1 2", b"ok")
@@ -84,7 +84,7 @@
     assert not site.thread.is_alive()
 
 
-def test_a_session_lost_in_the_drain_does_not_hold_its_door_beyond_the_grace(make_site, make_router):
+def test_a_session_lost_in_the_drain_does_not_hold_its_listener_beyond_the_grace(make_site, make_router):
     router = make_router()
     site = make_site(router)
     site.kernel = site.link()
--- a/tests/bgp/test_speaker.py
+++ b/tests/bgp/test_speaker.py
@@ -42,16 +42,16 @@
         assert time.monotonic() < give_up
 
 
-def test_a_service_is_announced_to_every_peer_and_withdrawn_before_the_door_may_close(
+def test_a_service_is_announced_to_every_peer_and_withdrawn_before_the_listener_may_close(
         make_router, make_speaker):
-    routers, door = [make_router(), make_router(asn=65021)], threading.Event()
+    routers, listener = [make_router(), make_router(asn=65021)], threading.Event()
     left = []
-    speaker = make_speaker(beside(*routers), on_door=lambda wait: (left.append(wait), door.set()))
+    speaker = make_speaker(beside(*routers), on_listener=lambda wait: (left.append(wait), listener.set()))
     speaker.node(Node.READY)
     for router in routers:
         router.wait_held(SERVICE)
     speaker.leave(5000)
-    assert door.wait(PATIENCE) and 0 < left[0] <= 500
+    assert listener.wait(PATIENCE) and 0 < left[0] <= 500
     for router in routers:
         router.wait_held()
         told = [each.message.reached[0][0].communities for each in router.seen if each.what == "announced"]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -233,7 +233,7 @@
         self.thread = threading.Thread(target=self.deciding.run, daemon=True)
         for each in [self.thread, *self.parts]:
             each.start()
-        self.address = self.deciding.door.address
+        self.address = self.deciding.listener.address
         return self
 
     def spawn(self):
--- a/tests/edge/test_device_link.py
+++ b/tests/edge/test_device_link.py
@@ -32,7 +32,7 @@
 
 def test_devices_and_routers_are_served_beside_each_other(make_site):
     site = make_site()
-    device, till = site.device(), Till(site.deciding.door.address)
+    device, till = site.device(), Till(site.deciding.listener.address)
     for each in range(20):
         number, tag = device.ask("look", b"%d" % each), till.ask("look")
         assert device.outcome(number, PATIENCE).word == 0 and till.answer(tag)[1] == "done"
--- a/tests/edge/test_machines.py
+++ b/tests/edge/test_machines.py
@@ -1,4 +1,4 @@
-"""The edge's decisions by hand: sessions, repeats, links, rates, tokens, the door, frames, wheel and
+"""The edge's decisions by hand: sessions, repeats, links, rates, tokens, the listener, frames, wheel and
 sketch."""
 
 import heapq
@@ -11,7 +11,7 @@
 
 from lilacwalk.edge import frames
 from lilacwalk.edge.client.machine import Machine
-from lilacwalk.edge.door import Arrivals
+from lilacwalk.edge.arrivals import Arrivals
 from lilacwalk.edge.frames import (
     Answer,
     Ask,
--- a/tests/membership/test_app_server_fleet.py
+++ b/tests/membership/test_app_server_fleet.py
@@ -43,7 +43,7 @@
     rig.processes["n2"].kernel.end()
     rig.wait(lambda: state_of(rig, "n2", "n0") == "standing-still", SOON, "told of the lost kernel")
     rig.processes["n1"].popen.terminate()
-    rig.wait(lambda: state_of(rig, "n1", "n0") == "leaving", SOON, "told before the door closes")
+    rig.wait(lambda: state_of(rig, "n1", "n0") == "leaving", SOON, "told before the listener closes")
     assert rig.processes["n1"].popen.wait(SOON) == 0
     rig.wait(lambda: rig.healths("n1")["n0"] == "left", SOON, "left, not lost")
     assert "event=leaving" in rig.log("n1") and "leaving_with_it=0" in rig.log("n1")
--- a/tests/test_app_server.py
+++ b/tests/test_app_server.py
@@ -125,7 +125,7 @@
 def test_after_a_stall_of_the_process_who_waits_to_be_read_is_not_closed_as_silent(make_site):
     deciding, _ = serve.build(make_site().handed, SimpleQueue())
     ours, theirs = socket.socketpair()
-    connection = Connection(ours, "router", deciding.limits, deciding.inbox, deciding.door)
+    connection = Connection(ours, "router", deciding.limits, deciding.inbox, deciding.listener)
     deciding.resp2.opened(connection)
     due = deciding.now + deciding.limits.look_at_idle
     deciding.now += 2 * deciding.limits.message
@@ -195,9 +195,9 @@
 
 
 def test_a_router_that_floods_waits_for_itself(make_site):
-    deciding, (door, *_) = serve.build(make_site().handed, SimpleQueue())
-    door.start()
-    with socket.create_connection(door.address, PATIENCE) as flood:
+    deciding, (listener, *_) = serve.build(make_site().handed, SimpleQueue())
+    listener.start()
+    with socket.create_connection(listener.address, PATIENCE) as flood:
         flood.sendall(b"".join(encode(b"PROBE", b"%d" % tag) for tag in range(1, 500)))
         _, connection = deciding.inbox.get(timeout=PATIENCE)
         batches = [deciding.inbox.get(timeout=PATIENCE) for _ in range(2)]
@@ -206,7 +206,7 @@
             deciding.inbox.get(timeout=0.1)
         connection.ahead.put(None)
         assert deciding.inbox.get(timeout=PATIENCE)[2]
-    door.end()
+    listener.end()
 
 
 def test_many_connections_share_one_heap_and_their_threads_keep_nothing_that_was_freed(make_site):
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -17,7 +17,7 @@
 from lilacwalk.lifecycle import serve
 from lilacwalk.lifecycle.clock import Clock
 from lilacwalk.wire.resp import encode
-from lilacwalk.wire.routers import Connection, Door
+from lilacwalk.wire.routers import Connection, Listener
 
 ONE_CORE = {"family_info": SETTINGS["family_info"] | {"cpus": 1},
             "rules": SETTINGS["rules"] | {"tip_multiple": 2.0}}
@@ -139,7 +139,7 @@
     waiting = site.router()  # the system accepts it; there is no room for it here yet
     waiting.submit(1)
     site.deciding.inbox.put((site.deciding.leave,))
-    assert first.answer()[:2] == (0, "closing")  # said behind the shut door
+    assert first.answer()[:2] == (0, "closing")  # said behind the shut listener
     ends(site, 1, running)
     assert first.answer()[:2] == (1, "done")
     first.sock.close()
@@ -149,15 +149,15 @@
 
 
 def test_a_connection_accepted_as_the_listener_closes_is_answered_before_the_end(make_site, monkeypatch):
-    taken, take = threading.Event(), Door._take
-    monkeypatch.setattr(Door, "_take", lambda *about: (take(*about), taken.set()))
-    deciding, (door, _) = serve.build(make_site(stop_ms=60_000).handed, SimpleQueue())
-    door.start()
-    router = Router(door.address)
+    taken, take = threading.Event(), Listener._take
+    monkeypatch.setattr(Listener, "_take", lambda *about: (take(*about), taken.set()))
+    deciding, (listener, _) = serve.build(make_site(stop_ms=60_000).handed, SimpleQueue())
+    listener.start()
+    router = Router(listener.address)
     router.submit(1)
     assert taken.wait(PATIENCE)  # it is on the queue, and the deciding thread has not heard of it
     deciding.leave()
-    deciding._shut_the_door()
+    deciding._shut_the_listener()
     deciding.run()
     assert router.answer()[:2] == (0, "closing") and router.answer()[:2] == (1, "later")
     assert router.answer() is None
@@ -217,7 +217,8 @@
 def test_bytes_that_stand_unread_keep_a_resting_connection(make_site):
     deciding, _ = serve.build(make_site().handed, SimpleQueue())
     ours, theirs = socket.socketpair()
-    connection = Connection(ours, "router", deciding.limits, deciding.inbox, deciding.door)  # nobody reads it
+    # Nobody reads it.
+    connection = Connection(ours, "router", deciding.limits, deciding.inbox, deciding.listener)
     deciding.resp2.opened(connection)
     connection.sound, connection.closing_since = True, deciding.now
     theirs.sendall(b"*")
@@ -233,7 +234,7 @@
 def test_an_answer_that_has_not_left_yet_is_not_lost_to_make_room(make_site):
     deciding, _ = serve.build(make_site().handed, SimpleQueue(), crowded=1)
     pairs = [socket.socketpair() for _ in range(2)]
-    answered, silent = (Connection(ours, "router", deciding.limits, deciding.inbox, deciding.door)
+    answered, silent = (Connection(ours, "router", deciding.limits, deciding.inbox, deciding.listener)
                         for ours, _ in pairs)
     deciding.resp2.opened(answered)
     answered.sound = True
@@ -270,7 +271,7 @@
 
     def built(*about):
         deciding, parts = build(*about)
-        routers.append(Router(deciding.door.address))
+        routers.append(Router(deciding.listener.address))
         routers[0].submit(1)
         os.kill(os.getpid(), signal.SIGTERM)
         return deciding, parts
