--- a/lilacwalk/__main__.py
+++ b/lilacwalk/__main__.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
+import os
+import signal
 import sys
 
-from lilacwalk.commands import lilacwalk
-
 
 def main(arguments: list[str] | None = None) -> int:
     """Exit codes: 0 done, 1 a defect while running, 2 the command line, a file or an address cannot be
     used."""
+    from lilacwalk.commands import lilacwalk  # here, for a notice to leave may come while all of it loads
     try:
         lilacwalk.main(arguments, prog_name="lilacwalk")
     except SystemExit as end:
@@ -18,4 +19,6 @@
 
 
 if __name__ == "__main__":
+    if sys.argv[1:2] == ["serve"]:  # until serving takes the notice over: nothing has been accepted
+        signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
     sys.exit(main())
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -238,7 +238,9 @@
 
     def spawn(self):
         """As a process of its own, as the platform starts it."""
-        with socket.create_server(("127.0.0.1", 0)) as free:
+        # A loopback address of this run's own: between the look for a free port and the program's own bind no
+        # other run, and no outgoing connection, can take it.
+        with socket.create_server((f"127.77.{os.getpid() >> 8 & 255}.{os.getpid() & 255 or 1}", 0)) as free:
             self.address = free.getsockname()
         self.path.write_text(json.dumps(self.handed | {"listen": plain(self.address)}))
         run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -288,6 +288,17 @@
                                                            [(0, "closing"), (1, "later")])
 
 
+def test_a_notice_to_leave_while_modules_load_is_the_end_of_a_process_that_accepted_nothing(
+        make_site, monkeypatch):
+    monkeypatch.setenv("PYTHONPROFILEIMPORTTIME", "1")
+    site = make_site().spawn()
+    while "click.globals" not in site.process.stderr.readline():  # most of it is still to come
+        assert site.process.poll() is None
+    site.process.send_signal(signal.SIGTERM)
+    assert "Traceback" not in site.process.communicate(timeout=PATIENCE)[1]
+    assert site.process.returncode == 0
+
+
 @pytest.mark.parametrize("opened", [False, True])
 def test_a_notice_to_leave_before_the_kernel_is_up_is_a_drain(make_site, opened):
     site = make_site().spawn()
@@ -378,6 +389,9 @@
     def replied(self):
         self.index.tell(f"{self.ident} HIT 1", b"!")
 
+    def given_up(self):
+        assert self.index.next() is None  # the run is over: the call's connection ends with it
+
     def unlinked(self):
         self.site.kernel.sock.shutdown(socket.SHUT_RDWR)
         self.site.unlinked = True
@@ -402,8 +416,11 @@
     if at_once:
         site.deciding.inbox.together(*acts)
     else:
-        for act in acts:
-            site.deciding.inbox.together(act)
+        site.deciding.inbox.together(acts[0])
+        if (first, second) == ("stopped", "replied"):
+            each.given_up()  # nobody is left to reply to
+        else:
+            site.deciding.inbox.together(acts[1])
     if site.unlinked:
         site.kernel = site.link()
     if not ended & {first, second}:
