A full table at a drain: the listener stays until all that stands in its backlog is taken

Where the listener's thread waited for room, not in an accept, Listener.shut woke it, it took one connection, left its loop and closed the socket, which reset the rest of the backlog; and a connection taken by the deciding thread after that thread's last word was not waited for. The story had one connection in the backlog.

Change: the socket is closed by whoever finds it empty, and the drain's end waits for two last words, each behind what was taken before it. The story has four now, and fails without this.

--- a/lilacwalk/fronts/resp2.py
+++ b/lilacwalk/fronts/resp2.py
@@ -26,7 +26,7 @@
         self.host, self.listener, self.most, self.in_hand = host, listener, most, 0
         self.limits, self.source = limits or host.limits, source
         self.connections: dict[Connection, None] = {}
-        self.listener_over = False  # all that it accepted has been told
+        self.last_words = 2  # still to come: of the listener's thread, and of who empties its backlog
         listener.on_opened, listener.on_messages, listener.on_ended = self.opened, self.messages, self.ended
         listener.on_over = self._listener_over
 
@@ -67,10 +67,10 @@
                 each.finish(now)
 
     def done(self) -> bool:
-        return self.listener_over and not self.connections
+        return not self.last_words and not self.connections
 
     def _listener_over(self) -> None:
-        self.listener_over = True
+        self.last_words -= 1
 
     def flushed(self) -> bool:
         return all(connection.outbox.flushed for connection in self.connections)
--- a/lilacwalk/wire/routers.py
+++ b/lilacwalk/wire/routers.py
@@ -231,7 +231,7 @@
         self.room.release()
 
     def end(self) -> None:
-        self.shut_down = True
+        self.shut_down = self.emptied = True  # what waits is not taken any more
         hang_up(self.sock)
 
     def shut(self) -> bool:
@@ -250,6 +250,8 @@
                     return False  # out of descriptors, or it was gone before it was taken: the next look
                 self.emptied = True
                 hang_up(self.sock)
+                self.sock.close()
+                self.inbox.put((self.on_over,))  # behind all that was taken here
             else:
                 self._take(sock, f"{host}:{port}")
         return self.emptied
@@ -271,7 +273,8 @@
             log.exception("event=thread_failed thread=listener")
             self.inbox.put((None, "the listener failed"))
         finally:
-            self.sock.close()
+            if not self.shut_down or self.emptied:
+                self.sock.close()  # else there may be more to take, and the deciding thread does both
             self.inbox.put((self.on_over,))
 
     def _take(self, sock: socket.socket, peer: str) -> None:
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -136,16 +136,21 @@
     site.kernel, first = site.link(), site.router()
     first.submit(1)
     running = scheduled(site)
-    waiting = site.router()  # the system accepts it; there is no room for it here yet
-    waiting.submit(1)
+    waiting = [site.router() for _ in range(4)]  # the system accepts them; there is no room for them here yet
+    for each in waiting:
+        each.submit(1)
     site.deciding.inbox.put((site.deciding.leave,))
     assert first.answer()[:2] == (0, "closing")  # said behind the shut listener
     ends(site, 1, running)
     assert first.answer()[:2] == (1, "done")
     first.sock.close()
-    assert waiting.answer()[:2] == (0, "closing")
-    ends(site, 2, scheduled(site))  # it reached the machine within the grace
-    assert waiting.answer()[:2] == (1, "done")
+    for number, each in enumerate(waiting, 2):
+        assert each.answer()[:2] == (0, "closing")
+        ends(site, number, scheduled(site))  # it reached the machine within the grace
+        assert each.answer()[:2] == (1, "done")
+        each.sock.close()
+    site.thread.join(PATIENCE)
+    assert site.deciding.ended
 
 
 def test_a_connection_accepted_as_the_listener_closes_is_answered_before_the_end(make_site, monkeypatch):
