A reader of a connection that is cut, not half closed, ends at once; a key that never ran is free

Connection._read read on after every cut, so that a flood on one cut for cause kept its thread and descriptor until the system told its end; only a half closed one is to be read to the other side's end. Connection.finish set the mark of that after the cut. And a key whose first left without running, with its only repeat taken back in the same pass, stayed somebody else's for a body of another until its window's end.

Change: the reader ends at a cut that is no half close; the mark is set first; only what ran keeps its key from another body.

--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -219,10 +219,11 @@
         name, earlier = self._earlier(group, asked, arrived)
         if name and name[2] == "key" and self.kept.other(name, arrived, body):
             # A repeat brings its body with it: this one only knows the key, and is not given what ran for it.
-            if earlier.place is Place.OVER:
+            if earlier.place is not Place.OVER:
+                front.answered(caller, tag, Reply(Final.DENIED))  # whose of them it is the kernel tells later
+                return ""
+            if earlier.ran:
                 return "a key that was another's"
-            front.answered(caller, tag, Reply(Final.DENIED))  # which of them the kernel knows is not told yet
-            return ""
         full = (len(self.hand) >= self.limits.in_hand or front.in_hand >= front.most
                 or bool(name) and earlier is None and self.kept.full)
         if self.controller is None or full:
--- a/lilacwalk/wire/routers.py
+++ b/lilacwalk/wire/routers.py
@@ -136,7 +136,8 @@
     def finish(self, now: int) -> None:
         """Half closes it. The reader reads on to the other side's end, and what it reads is dropped: a close
         over unread bytes would reset the connection, and answers on their way with it."""
-        self.cut, self.finished_at = True, now
+        self.finished_at = now  # before the cut: the reader of one that is cut and not finished ends at once
+        self.cut = True
         try:
             self.sock.shutdown(socket.SHUT_WR)
         except OSError:
@@ -165,7 +166,7 @@
         while True:
             ready.poll()
             self.taking = True
-            if not (chunk := self.sock.recv(limits.read)):
+            if not (chunk := self.sock.recv(limits.read)) or self.cut and not self.finished_at:
                 return
             messages = []
             for parts in parser.feed(chunk) if not self.cut else ():
