Discovery that is down at the start hears the next report when it is back: a story

Read: the report's socket is not connected and does not block, so neither refusals nor a full buffer reach it, and the next report comes 0.3 s later whatever became of the last.

Change: a story that closes discovery before the start, serves, and binds its port again.

--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -658,3 +658,19 @@
         ends(loose, number, ident, b"loose")
     assert {strict.asker.answer()[3] for _ in range(2)} == {b"strict"}
     assert {loose.asker.answer()[3] for _ in range(2)} == {b"loose"}
+
+
+def test_discovery_that_is_down_at_the_start_and_for_long_hears_the_next_report_when_it_is_back(make_site):
+    site = make_site()
+    where = site.catalog.getsockname()
+    site.catalog.close()
+    site.start()
+    site.kernel, router = site.link(), site.router()
+    for number in range(1, 4):  # nothing waits on it
+        router.submit(number)
+        ends(site, number, scheduled(site))
+        assert router.answer()[:2] == (number, "done")
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as back:
+        back.bind(where)
+        back.settimeout(PATIENCE)
+        assert back.recv(100) == b"alive n1 passing"
