--- a/benchmarks/cold_budget.py
+++ b/benchmarks/cold_budget.py
@@ -1,6 +1,6 @@
 """What cold app servers send together to a dependency that all of them share, with real processes.
 
-    python -m benchmarks.cold_budget [seeds]
+    python -m benchmarks.cold_budget [seeds [share …]]
 
 All of 20, then of 30, start cold in one moment and are asked for more calls than their shares allow. The
 budget N is the sum of their shares, told as a mean in hand over a second; 2 x root of N + 2 over it is put
@@ -34,39 +34,44 @@
         rig.write = lambda each: each.file.write_text("")  # type: ignore[method-assign]
         rig.start(*rig.processes, wait=False)
         rig.wait(lambda: all("event=kernel_up" in rig.log(name) for name in rig.processes), 60, "all are up")
-        tills = [Till(where(rig.log(name))) for name in rig.processes]
-        asking = [threading.Thread(target=ask, args=(till, 1.6 * share / WORK, random.Random(f"{seed} {at}")))
-                  for at, till in enumerate(tills)]
+        rate = 1.6 * share / WORK
+        asking = [threading.Thread(target=ask, args=(where(rig.log(name)), rate, chance(seed, name)))
+                  for name in rig.processes]
         for each in asking:
             each.start()
         for each in asking:
             each.join()
-        for till in tills:
-            till.end()
         return share * size, max(index.crowds(SPAN, 0.05)), index.most, index.made
     finally:
         rig.end()
         index.end()
 
 
+def chance(seed: int, name: str) -> random.Random:
+    return random.Random(f"{seed} {name}")
+
+
 def where(log: str) -> tuple[str, int]:
     host, port = log.split("event=started")[1].split("listen=")[1].split()[0].split(":")
     return host, int(port)
 
 
-def ask(till: Till, rate: float, chance: random.Random) -> None:
+def ask(address: tuple[str, int], rate: float, chance: random.Random) -> None:
+    till = Till(address)  # here: who connects and says nothing for a second is closed
     due = time.monotonic()
     until = due + LOAD_S
     while (due := due + chance.expovariate(rate)) < until:
         time.sleep(max(0.0, due - time.monotonic()))
         till.ask("look", wait_ms=1500)
+    till.end()
 
 
 def main() -> None:
     seeds = int(sys.argv[1]) if len(sys.argv) > 1 else 10
+    shares = [float(each) for each in sys.argv[2:]] or [0.3, 1.0]
     table, rows = Table("cold-budget"), []
     for size in (20, 30):
-        for share in (0.3, 1.0):
+        for share in shares:
             for seed in range(1, seeds + 1):
                 budget, mean, most, made = played(size, share, seed)
                 allowed = budget + 2 * sqrt(budget) + 2
