The rare moments share one clock that moves and one call that is asked

Cause: three stories set the app server's clock by the same line, and four told IOREQ and took the GET alike.

Change: clock_of and calls in the tests' own file; each assertion stays, and the index's body is now looked at in all four.

--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -37,18 +37,35 @@
     site.kernel.tell(f"REAP {notice} {ident} success 3 {len(result)}", result)
 
 
-@pytest.fixture
-def moved(site):
-    """Moves the app server's clock on, as a standstill of the whole process would."""
+def calls(site, notice, ident, body=b"?"):
+    """The run asks its call, and the index has it; the notice is told by its number."""
+    site.kernel.tell(f"IOREQ {notice} {ident} {len(body)}", body)
+    index = site.calls()
+    assert index.expect("GET")[1] == body
+    return index
+
+
+def clock_of(site):
+    """What moves the app server's clock on, as a standstill of the whole process would."""
     ahead = [0]
     site.deciding.clock = Clock(lambda: time.time_ns() + ahead[0], lambda: time.monotonic_ns() + ahead[0])
 
     def move(seconds):
         ahead[0] += int(seconds * 1e9)
-        looked(site.router())
     return move
 
 
+@pytest.fixture
+def moved(site):
+    """Moves the clock on, past the pass that sees it."""
+    move = clock_of(site)
+
+    def moved(seconds):
+        move(seconds)
+        looked(site.router())
+    return moved
+
+
 # Repeats of what must not run twice
 
 
@@ -176,15 +193,11 @@
     site.kernel, site.resting = site.link(), [site.router() for _ in range(2)]
     for each in site.resting:
         looked(each)
-    ahead = [0]
-    site.deciding.clock = Clock(lambda: time.time_ns() + ahead[0], lambda: time.monotonic_ns() + ahead[0])
-
-    def move():
-        ahead[0] += 1_500_000_000
-    move()
+    move = clock_of(site)
+    move(1.5)
     for each in site.resting:
         assert each.answer()[:2] == (0, "closing")
-    site.move_on = move
+    site.move_on = lambda: move(1.5)
     return site
 
 
@@ -255,8 +268,8 @@
     site = make_site(limits={"message": 1_000}).start()
     site.kernel, router = site.link(), site.router()
     router.submit(1)
-    running, ahead = scheduled(site), 5_000_000_000
-    site.deciding.clock = Clock(lambda: time.time_ns() + ahead, lambda: time.monotonic_ns() + ahead)
+    running = scheduled(site)
+    clock_of(site)(5.0)
     half = router.message(2)
     router.sock.sendall(half[:20])
     silent = site.router()
@@ -378,9 +391,7 @@
         self.ident = scheduled(site)
         self.number, self.index = 1, None
         if calling:
-            site.kernel.tell(f"IOREQ 1 {self.ident} 1", b"?")
-            self.index, self.number = site.calls(), 2
-            self.index.expect("GET")
+            self.index, self.number = calls(site, 1, self.ident), 2
 
     def withdrawn(self):
         self.router.say(b"WITHDRAW", b"1")
@@ -504,13 +515,11 @@
         new = site.router()
         new.submit(1, "look")
         ident = scheduled(site)
-        site.kernel.tell(f"IOREQ {2 * number} {ident} 1", b"?")
-        calls = site.calls()
-        calls.expect("GET")
-        calls.tell(f"{ident} HIT 1", b"!")
+        index = calls(site, 2 * number, ident)
+        index.tell(f"{ident} HIT 1", b"!")
         ends(site, 2 * number + 1, ident)
         assert new.answer()[:2] == (1, "done")
-        calls.sock.close()
+        index.sock.close()
     ends(site, 99, long)
     assert first.answer()[:2] == (1, "done")  # what is in flight never gives way
     used = len(os.listdir(f"/proc/{site.process.pid}/fd"))
@@ -558,15 +567,11 @@
     router = site.router()
     router.submit(1, "look")
     ident = scheduled(site)
-    site.kernel.tell(f"IOREQ 1 {ident} 1", b"1")
-    first = site.calls()
-    first.expect("GET")
+    first = calls(site, 1, ident, b"1")
     first.tell(f"{ident} HIT 1", b"a")
     assert site.kernel.expect("IODONE")[1] == b"a"
     first.sock.sendall(f"{ident} ".encode() + second)  # a second copy, as the next call is about to be made
-    site.kernel.tell(f"IOREQ 2 {ident} 1", b"2")
-    again = site.calls()
-    assert again.expect("GET")[1] == b"2"
+    again = calls(site, 2, ident, b"2")
     again.tell(f"{ident} HIT 1", b"b")
     assert site.kernel.expect("IODONE")[1] == b"b"
     ends(site, 3, ident)
