--- a/lilacwalk/wire/routers.py
+++ b/lilacwalk/wire/routers.py
@@ -127,8 +127,8 @@
 
     @property
     def quiet(self) -> bool:
-        """Whether nothing that came is unread or undecided. Looked at in the order opposite to that in which
-        bytes move on, so that none slips by between two looks."""
+        """Whether nothing that came is unread or undecided. Looked at along the way that bytes take, from the
+        system's buffer to the queue: what leaves one place between two looks is met in the next."""
         unread = select.poll()
         unread.register(self.sock, select.POLLIN)
         return not unread.poll(0) and not self.taking and self.ahead.qsize() == self.limits.batches_ahead
