A site lost while it idles, or before its load is known, is stood in for

Ruled out: the view (digests equal, settled, firm), the files' marks (only the old node yields), BGP.

Cause: SitesMachine._learn began a site's mean load with the first card, which tells none yet (seen.load), and SitesMachine.here took a mean under half a step for no load at all: what was lost within the first second or two of traffic, or idled, moved nowhere.

Change: the mean begins with the file's load, and a site plans with one step of load at least.

--- a/lilacwalk/sites/standing.py
+++ b/lilacwalk/sites/standing.py
@@ -17,7 +17,7 @@
 from lilacwalk.sites.judging import HERE, Judged, judge, Seen, Standing
 from lilacwalk.sites.planning import calls_allowed, Plan, places, plan
 from lilacwalk.sites.returning import first_to_ramp, Look, Returning, Stage
-from lilacwalk.sites.shares import Place, rounded
+from lilacwalk.sites.shares import Place, rounded, STEP
 from lilacwalk.sites.terms import SECOND, Sites
 from lilacwalk.sites.yielding import Around
 
@@ -141,12 +141,14 @@
         own."""
         if any(each.stage is not Stage.WHOLE for each in self.returning.values()):
             return
-        for name, seen in judged.items():
+        for place in self.orders.site:
+            name, seen = place.name, judged[place.name]
             if seen.standing is Standing.PRESENT and not seen.lost_part:
                 finished = sum(row.seen.finished for row in rows if row.seen.site == name
                                and row.seen.health in HERE)
                 self.usual[name] = max(finished, 0.98 * self.usual.get(name, 0.0))
-                before = self.loads.get(name, seen.load)
+                # From the file's on: the first cards tell nothing yet, or what a start left idle.
+                before = self.loads.get(name, place.load)
                 self.loads[name] = before + LEARN * (seen.load - before)
 
     def here(self, judged: dict[str, Judged]) -> dict[str, Place]:
@@ -155,7 +157,8 @@
         for name, place in places(self.orders).items():
             seen = judged[name]
             cores = rounded(seen.cores) if seen.cores else place.cores
-            load = rounded(self.loads[name]) if self.loads.get(name) else place.load
+            # At least a step: an idle site has users, too, and none of them may find nobody.
+            load = max(STEP, rounded(self.loads[name]) if name in self.loads else place.load)
             made[name] = Place(name, cores, load, place.stand_ins)
         return made
 
--- a/tests/sites/test_machines.py
+++ b/tests/sites/test_machines.py
@@ -157,6 +157,18 @@
     assert mine == set(stand_ins)
 
 
+@pytest.mark.parametrize(("load", "looks"), [(0.0, 1), (0.05, 1), (0.05, 5), (0.05, 400)])
+def test_a_site_lost_while_it_idles_or_before_its_load_is_known_is_stood_in_for(load, looks):
+    """Whoever starts sees cards without a load first; a site at night has users, too."""
+    made = SitesMachine(orders(cores=2, load=0.4), "c0", "caruaru", 0)
+    idle = [member(f"{site[0]}{at}", site, load=load, cores=1) for site in ("recife", "caruaru", "natal")
+            for at in range(2)]
+    for at in range(looks):
+        made.look(idle, "whole", 2_000 * at)
+    lost = [member(row.name, "recife", Health.DEAD) if row.seen.site == "recife" else row for row in idle]
+    assert made.look(lost, "whole", 2_000 * looks).stand_ins["recife"]
+
+
 def test_who_hears_no_more_than_half_takes_over_nothing():
     made = machines()
     look_all(made, rows(), 0)
