A log that nobody reads holds up neither answers nor the drain

Cause: found by reading. Every thread logs through logging.StreamHandler, whose write to standard error waits where that is a pipe with no room (64 KB, some 400 lines); the deciding thread logs too (started, kernel_up, a caller cut off, leaving), so a log collector that stands still ends all answers, and the drain with them.

Change: log.Unwaiting looks for room first, drops what finds none and tells how many were dropped; a line has 4,000 characters at most, less than a pipe with room takes at once.

--- a/lilacwalk/log.py
+++ b/lilacwalk/log.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import logging
+import select
 import sys
 import time
 
 from logfmter import Logfmter
 
+MOST = 4_000  # characters of a line: a pipe that has room takes a page, 4,096 bytes, without making us wait
+
 
 class KeyValue(Logfmter):
     """`time=… level=… part=… event=…`: one line each, an exception's trace folded into it. A message is a
@@ -20,7 +23,29 @@
                 f"part={record.name.removeprefix('lilacwalk.')} {pairs}")
         if record.exc_info:
             line += f" trace={self.formatException(record.exc_info)!r}"
-        return line.replace("\n", " ")
+        line = line.replace("\n", " ")
+        return line if len(line) <= MOST else f"{line[:MOST // 2]} ... {line[5 - MOST // 2:]}"
+
+
+class Unwaiting(logging.StreamHandler):
+    """Who does not read the log must not hold up who writes it: a line that finds no room is dropped, and
+    the next one that finds some tells how many were."""
+
+    def __init__(self, stream) -> None:
+        super().__init__(stream)
+        self.room, self.dropped = select.poll(), 0
+        self.room.register(stream, select.POLLOUT)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        if self.dropped and self.room.poll(0):
+            told = {"msg": f"event=log_lines_dropped count={self.dropped}", "name": __name__,
+                    "levelname": "WARNING"}
+            super().emit(logging.makeLogRecord(told))
+            self.dropped = 0
+        if self.room.poll(0):
+            super().emit(record)
+        else:
+            self.dropped += 1
 
 
 class Tally:
@@ -37,7 +62,7 @@
 
 
 def start_logging(level: int) -> None:
-    handler = logging.StreamHandler(sys.stderr)
+    handler = Unwaiting(sys.stderr)
     handler.setFormatter(KeyValue())
     logging.basicConfig(level=level, handlers=[handler])
     logging.raiseExceptions = False  # a closed standard error is no reason to write to it once more
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -236,7 +236,7 @@
         self.address = self.deciding.listener.address
         return self
 
-    def spawn(self):
+    def spawn(self, stderr=subprocess.PIPE):
         """As a process of its own, as the platform starts it."""
         # A loopback address of this run's own: between the look for a free port and the program's own bind no
         # other run, and no outgoing connection, can take it.
@@ -244,7 +244,7 @@
             self.address = free.getsockname()
         self.path.write_text(json.dumps(self.handed | {"listen": plain(self.address)}))
         run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
-        self.process = subprocess.Popen(["/bin/sh", "-c", run], stderr=subprocess.PIPE, cwd=ROOT, text=True,
+        self.process = subprocess.Popen(["/bin/sh", "-c", run], stderr=stderr, cwd=ROOT, text=True,
                                         env=os.environ | {"ROUTER_CONFIG": str(self.path)})
         return self
 
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -447,6 +447,31 @@
     while (other := scheduled(site)) == each.ident:  # sent again behind the fence: nothing confirmed it
         pass
     ends(site, each.number + 1, other)
+def test_a_log_that_nobody_reads_holds_up_neither_answers_nor_the_drain(make_site):
+    unread, full = os.pipe()
+    os.set_blocking(full, False)
+    with pytest.raises(BlockingIOError):
+        while True:
+            os.write(full, b"\n" * 4096)
+    os.set_blocking(full, True)  # of the pipe's one end, which the program is given
+    site = make_site().spawn(full)
+    os.close(full)
+    site.kernel, router = site.link(), site.router()
+    looked(router)
+    assert os.read(unread, 1 << 20).strip() == b""  # from here on there is room again
+    router.submit(1)
+    running = scheduled(site)
+    site.process.send_signal(signal.SIGTERM)
+    assert router.answer()[:2] == (0, "closing")
+    ends(site, 1, running)
+    assert router.answer()[:2] == (1, "done")
+    router.sock.close()
+    assert site.process.wait(PATIENCE) == 0
+    with open(unread) as log:
+        lines = log.read().splitlines()
+    assert "event=log_lines_dropped count=2" in lines[0] and any("event=leaving" in line for line in lines)
+
+
     assert beside.answer()[:2] == (1, "done")
     if "hung_up" not in (first, second):
         each.router.say(b"PROBE", b"9")
