--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -229,8 +229,8 @@
         if self.controller is None or full:
             front.answered(caller, tag, self._no_room(name, earlier, arrived))
             return ""
-        if group.effect is Effect.DEDUPLICATED and earlier is None and arrived < self.kept.forgotten:
-            front.answered(caller, tag, Reply(Final.TERMINATED))  # read so late that it may be a repeat
+        if group.effect is Effect.DEDUPLICATED and earlier is None and self._may_repeat(name, arrived):
+            front.answered(caller, tag, Reply(Final.TERMINATED))
             return ""
         if earlier is None and not self._may_begin(group):
             front.answered(caller, tag, Reply(Final.DENIED, come_back=self.server.come_back_max))
@@ -262,6 +262,12 @@
 
     def _no_room(self, name: tuple | None, earlier: Exchange | None, arrived: int) -> Reply:
         """Denied, for no room or for nothing to run it on yet. What has an effect and ran once is never
+    def _may_repeat(self, name: tuple | None, arrived: int) -> bool:
+        """Whether it may repeat one that is known no more: read so late that this was forgotten, or come just
+        behind the window, which the sockets' page may mean to be longer like each of its time limits."""
+        return arrived < self.kept.forgotten or (
+            name is not None and self.kept.find(name, arrived - self.limits.window_slack) is not None)
+
         denied, and its result needs no room."""
         if earlier is None or not earlier.ran or earlier.group.effect is Effect.REPEATABLE:
             return Reply(Final.DENIED)
--- a/lilacwalk/limits.py
+++ b/lilacwalk/limits.py
@@ -56,6 +56,7 @@
     connect: int = SECOND // 4  # on one machine connections open at once or not at all
     gauge_lead: int = 30  # asked for 3 ms before they are used: some ten times what an answer takes
     # Times.
+    window_slack: int = SECOND // 20  # by so much each time limit of the sockets' page is longer
     report_every: int = 3 * SECOND // 10  # listed for 3 s after a report: nine lost in a row are no chance
     look_at_idle: int = SECOND // 20  # a fifth of the shortest idle time that is asked for in practice
     flush: int = 3 * SECOND // 10  # kept back from the time to leave, for answers on their way
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -171,6 +171,20 @@
 
 
 def test_a_connection_accepted_as_the_listener_closes_is_answered_before_the_end(make_site, monkeypatch):
+def test_a_repeat_just_behind_the_window_fails_unrun_and_a_little_later_it_runs(site, moved):
+    router, came = site.router(), int(time.time() * 1000)
+    router.submit(1, "once", k="k1", s=came)
+    ends(site, 1, scheduled(site))
+    assert router.answer()[1] == "done"
+    moved(60.5)
+    late = site.router()
+    late.submit(1, "once", k="k1", s=came + 60_045)
+    assert late.answer()[:2] == (1, "error")
+    late.submit(2, "once", k="k1", s=came + 60_060)
+    ends(site, 2, scheduled(site), b"again")
+    assert late.answer()[1::2] == ("done", b"again")
+
+
     taken, take = threading.Event(), Listener._take
     monkeypatch.setattr(Listener, "_take", lambda *about: (take(*about), taken.set()))
     deciding, (listener, _) = serve.build(make_site(stop_ms=60_000).handed, SimpleQueue())
