A message that has begun keeps its connection: a close between its halves lost it

Cause: found by reading. Connection.quiet looks at the system's buffer, the reader's hands and the queue; half a message lies in none of them but in the parser. Resp2.let_go, _close_idle and _make_room half closed such a connection, and dropped the other half: with a router that writes slowly, or a message cut on its way as the drain closes connections, the request was lost.

Change: Connection.between_messages; only the last look before the process is killed, and room for new ones among those never sound, still close over half a message. One that is never ended is cut off after a second, as before.

Measured: two stories over TCP, out of a drain and in it, failed without it.

--- a/lilacwalk/fronts/resp2.py
+++ b/lilacwalk/fronts/resp2.py
@@ -63,7 +63,8 @@
         for each in self.connections:
             if each.cut:
                 self._linger(each, now)
-            elif self._rests(each) and (late or now - each.closing_since > self.limits.settle) and each.quiet:
+            elif self._rests(each) and (each.quiet if late else now - each.closing_since > self.limits.settle
+                                        and each.between_messages):
                 each.finish(now)
 
     def done(self) -> bool:
@@ -167,7 +168,7 @@
                 if now - each.last_used > self.limits.unsent:
                     each.cut_off(reset=True)
             elif each.closing_since:
-                if now - each.closing_since > self.limits.closing and each.quiet:
+                if now - each.closing_since > self.limits.closing and each.between_messages:
                     each.finish(now)
             elif now - each.last_used > after:
                 self._ask_to_close(each)
@@ -181,7 +182,7 @@
             idle = [each for each in standing if self._rests(each)]
             new = self.host.now - self.limits.young
             idle.sort(key=lambda each: (1 if each.sound else 2 * (each.last_used > new), each.last_used))
-            quiet = (each for each in idle if each.quiet)
+            quiet = (each for each in idle if (each.between_messages if each.sound else each.quiet))
             for each in islice(quiet, too_many):
                 if each.sound:  # an answer may be on its way to it
                     each.finish(self.host.now)
--- a/lilacwalk/wire/routers.py
+++ b/lilacwalk/wire/routers.py
@@ -133,6 +133,12 @@
         unread.register(self.sock, select.POLLIN)
         return not unread.poll(0) and not self.taking and self.ahead.qsize() == self.limits.batches_ahead
 
+    @property
+    def between_messages(self) -> bool:
+        """Quiet, and no message has begun: the rest of one may be on its way. Looked at in this order, as the
+        reader tells what has begun before it says that it has taken all."""
+        return self.quiet and not self.begun
+
     def finish(self, now: int) -> None:
         """Half closes it. The reader reads on to the other side's end, and what it reads is dropped: a close
         over unread bytes would reset the connection, and answers on their way with it."""
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -203,7 +203,8 @@
 def resting(make_site):
     """Two routers that were asked to close and rest on, and the moment at which their time is over."""
     info = SETTINGS["family_info"] | {"caller_idle_ms": 1000.0}
-    site = make_site(settings={"family_info": info}, limits={"closing": 10_000, "linger": 100_000}).start()
+    limits = {"closing": 10_000, "linger": 100_000, "message": 100_000}
+    site = make_site(settings={"family_info": info}, limits=limits).start()
     site.kernel, site.resting = site.link(), [site.router() for _ in range(2)]
     for each in site.resting:
         looked(each)
@@ -282,6 +283,37 @@
     site = make_site(limits={"message": 1_000}).start()
     site.kernel, router = site.link(), site.router()
     router.submit(1)
+def test_half_a_request_keeps_a_resting_connection_until_its_other_half_has_come(resting):
+    asking, beside = resting.resting
+    request = asking.message(2)
+    asking.sock.sendall(encode(b"PROBE", b"1") + request[:-40])
+    assert asking.answer()[:2] == (1, "healthy")  # what came with it has been taken up
+    resting.move_on()
+    assert beside.answer() is None  # both were looked at
+    asking.sock.sendall(request[-40:])
+    ends(resting, 1, scheduled(resting))
+    assert asking.answer()[:2] == (2, "done")
+
+
+def test_half_a_request_as_a_drain_closes_connections_is_answered_when_its_other_half_has_come(make_site):
+    site = make_site(stop_ms=10_000, limits={"message": 100_000, "linger": 100_000}).start()
+    site.kernel, (asking, beside) = site.link(), [site.router() for _ in range(2)]
+    for each in (asking, beside):
+        looked(each)
+    request = asking.message(2)
+    asking.sock.sendall(encode(b"PROBE", b"1") + request[:-40])
+    assert asking.answer()[:2] == (1, "healthy")
+    site.deciding.inbox.put((site.deciding.leave,))
+    for each in (asking, beside):
+        assert each.answer()[:2] == (0, "closing")
+    assert beside.answer() is None
+    asking.sock.sendall(request[-40:])
+    assert asking.answer()[:2] == (2, "later")
+    assert asking.answer() is None
+    site.thread.join(PATIENCE)
+    assert site.deciding.ended
+
+
     running = scheduled(site)
     clock_of(site)(5.0)
     half = router.message(2)
