What the kernel has read is not sent again after a lost link

A command was kept until a notice of its exchange came, so behind a lost link every run in progress had its SCHED sent again. A run that ends, or asks its next call, between the replay's end and that command's arrival gets a SCHED for what is over, or the last call's reply as the next one's.

Change: the kernel answers in the order of what it reads, so the answer to gauges asked for behind a command shows that it was read: it is not kept after that.

Ruled out: an EINVAL lost with the link. It stands before that answer on the same link.

--- a/lilacwalk/lifecycle/answering.py
+++ b/lilacwalk/lifecycle/answering.py
@@ -35,6 +35,7 @@
     controller: Controller | None
     kernel: Outbox | None
     kernel_ready: bool
+    gauges_asked: int
     storms: StormsPart | None
     guests: GuestsPart | None
 
@@ -82,9 +83,11 @@
         host.hand.drop(each)
 
     def command(self, each: InHand, *commands: bytes) -> None:
-        """Kept until a notice proves that it came through, and sent later where there is no link. Without a
-        new one, those that are kept are sent again."""
+        """Kept until the kernel shows that it came through, and sent later where there is no link. Without a
+        new one, those that are kept are sent again: so few that a run hardly ever ends, or asks its next
+        call, just between the replay and what is sent again."""
         each.unsure.extend(commands)
+        each.commanded = self.host.gauges_asked
         for command in commands or each.unsure:
             if self.host.kernel_ready and not self.host.send(self.host.kernel, command):
                 hang_up(self.host.kernel.sock)  # nothing reads there: a new link begins with what is unsure
--- a/lilacwalk/lifecycle/deciding.py
+++ b/lilacwalk/lifecycle/deciding.py
@@ -81,6 +81,7 @@
         self.gauges = (1.0, float(server.cores))  # core use and run queue; full until told
         self.kernel: Outbox | None = None
         self.fence, self.fences = "", 0
+        self.gauges_asked = 0  # how often; the kernel answers in the order of what it has read
         self.kernel_ready = False  # the replay has been read
         self.stop_at = 0  # 0: no notice to leave yet
         self.devices: Devices | None = None  # likewise
@@ -160,7 +161,8 @@
 
     def ask_for_gauges(self) -> None:
         if self.kernel_ready:
-            self.send(self.kernel, kernel.gauges("g"))
+            self.gauges_asked += 1
+            self.send(self.kernel, kernel.gauges(f"g{self.gauges_asked}"))
 
     def _look_around(self, due: int) -> None:
         """Work that no message starts: the report, idle connections, keys whose time is over."""
@@ -260,14 +262,14 @@
         self.calls.append((self.controller.arrive, ex))
         return ""
 
-    def _no_room(self, name: tuple | None, earlier: Exchange | None, arrived: int) -> Reply:
-        """Denied, for no room or for nothing to run it on yet. What has an effect and ran once is never
     def _may_repeat(self, name: tuple | None, arrived: int) -> bool:
         """Whether it may repeat one that is known no more: read so late that this was forgotten, or come just
         behind the window, which the sockets' page may mean to be longer like each of its time limits."""
         return arrived < self.kept.forgotten or (
             name is not None and self.kept.find(name, arrived - self.limits.window_slack) is not None)
 
+    def _no_room(self, name: tuple | None, earlier: Exchange | None, arrived: int) -> Reply:
+        """Denied, for no room or for nothing to run it on yet. What has an effect and ran once is never
         denied, and its result needs no room."""
         if earlier is None or not earlier.ran or earlier.group.effect is Effect.REPEATABLE:
             return Reply(Final.DENIED)
@@ -427,7 +429,11 @@
 
     def _told_gauges(self, tag: str, values: dict[str, float]) -> None:
         self.gauges = values.get("core_use", 1.0), values.get("on_cores", float(self.server.cores))
-        if tag == self.fence and not self.kernel_ready:
+        if tag[0] == "g" and tag[1:].isdecimal():
+            for each in self.hand.by_id.values():
+                if each.commanded < int(tag[1:]):  # read by now, on this link, and not to be sent again
+                    each.unsure.clear()
+        elif tag == self.fence and not self.kernel_ready:
             self.kernel_ready, self.fence = True, ""
             self.calls.append((self.controller.linked, True))
             again = [each for each in self.hand.by_id.values() if each.unsure]
--- a/lilacwalk/memory/records.py
+++ b/lilacwalk/memory/records.py
@@ -56,7 +56,8 @@
     group: str  # as the wire names it
     body: bytes
     kept_as: tuple | None = None  # its name in the table of keys and results
-    unsure: list[bytes] = field(default_factory=list)  # commands that no notice has confirmed yet
+    unsure: list[bytes] = field(default_factory=list)  # commands that the kernel may not have read
+    commanded: int = 0  # how often the gauges had been asked for when the last of them left
     sent_again: bool = False  # some of them, after a link was lost: the kernel may know them already
     call_body: bytes = b""
     call_notice: int = 0
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -66,6 +66,54 @@
     return moved
 
 
+# A lost link
+
+
+def gauges_answered(site, notice):
+    """The gauges were asked for behind all that was read so far, and the answer has been taken up."""
+    router = site.router()
+    router.submit(1)
+    ident = scheduled(site)
+    asked, _ = site.kernel.expect("SYSINFO")
+    site.kernel.tell(f"INFO {asked[1]} 0.1 1")
+    ends(site, notice, ident)  # by the same link, behind it
+    assert router.answer()[:2] == (1, "done")
+
+
+def test_what_the_kernel_has_read_is_not_sent_again_as_its_run_may_end_between(site):
+    router = site.router()
+    router.submit(1, "once", k="k1")
+    first = scheduled(site)
+    gauges_answered(site, 1)
+    router.submit(2)
+    second = scheduled(site)  # and the gauges not asked for since
+    site.kernel.reset()
+    site.kernel = site.link()  # behind its replay the first run ends
+    ends(site, 2, first)
+    assert scheduled(site) == second
+    ends(site, 3, second)
+    assert sorted(router.answer()[:2] for _ in range(2)) == [(1, "done"), (2, "done")]
+    router.submit(3)
+    assert scheduled(site) not in (first, second)
+
+
+def test_a_reply_that_the_kernel_has_read_is_not_taken_for_the_next_calls(site):
+    router = site.router()
+    router.submit(1, "look")
+    ident = scheduled(site)
+    index = calls(site, 1, ident, b"one")
+    index.tell(f"{ident} HIT 1", b"1")
+    assert site.kernel.expect("IODONE")[1] == b"1"
+    gauges_answered(site, 2)
+    site.kernel.reset()
+    site.kernel = site.link()
+    index = calls(site, 3, ident, b"two")  # the run asks on behind the fence
+    index.tell(f"{ident} HIT 1", b"2")
+    assert site.kernel.expect("IODONE")[1] == b"2"
+    ends(site, 4, ident)
+    assert router.answer()[:2] == (1, "done")
+
+
 # Repeats of what must not run twice
 
 
@@ -123,6 +171,20 @@
     assert late.answer()[1::2] == ("done", b"again")
 
 
+def test_a_repeat_just_behind_the_window_fails_unrun_and_a_little_later_it_runs(site, moved):
+    router, came = site.router(), int(time.time() * 1000)
+    router.submit(1, "once", k="k1", s=came)
+    ends(site, 1, scheduled(site))
+    assert router.answer()[1] == "done"
+    moved(60.5)
+    late = site.router()
+    late.submit(1, "once", k="k1", s=came + 60_045)
+    assert late.answer()[:2] == (1, "error")
+    late.submit(2, "once", k="k1", s=came + 60_060)
+    ends(site, 2, scheduled(site), b"again")
+    assert late.answer()[1::2] == ("done", b"again")
+
+
 @pytest.mark.parametrize("limits", [{"kept": 1}, {"in_hand": 1}])
 def test_a_repeat_of_what_ran_is_not_denied_for_want_of_room(make_site, limits):
     site = make_site(limits=limits).start()
@@ -171,20 +233,6 @@
 
 
 def test_a_connection_accepted_as_the_listener_closes_is_answered_before_the_end(make_site, monkeypatch):
-def test_a_repeat_just_behind_the_window_fails_unrun_and_a_little_later_it_runs(site, moved):
-    router, came = site.router(), int(time.time() * 1000)
-    router.submit(1, "once", k="k1", s=came)
-    ends(site, 1, scheduled(site))
-    assert router.answer()[1] == "done"
-    moved(60.5)
-    late = site.router()
-    late.submit(1, "once", k="k1", s=came + 60_045)
-    assert late.answer()[:2] == (1, "error")
-    late.submit(2, "once", k="k1", s=came + 60_060)
-    ends(site, 2, scheduled(site), b"again")
-    assert late.answer()[1::2] == ("done", b"again")
-
-
     taken, take = threading.Event(), Listener._take
     monkeypatch.setattr(Listener, "_take", lambda *about: (take(*about), taken.set()))
     deciding, (listener, _) = serve.build(make_site(stop_ms=60_000).handed, SimpleQueue())
@@ -235,6 +283,37 @@
     assert asking.answer()[:2] == (1, "done")
 
 
+def test_half_a_request_keeps_a_resting_connection_until_its_other_half_has_come(resting):
+    asking, beside = resting.resting
+    request = asking.message(2)
+    asking.sock.sendall(encode(b"PROBE", b"1") + request[:-40])
+    assert asking.answer()[:2] == (1, "healthy")  # what came with it has been taken up
+    resting.move_on()
+    assert beside.answer() is None  # both were looked at
+    asking.sock.sendall(request[-40:])
+    ends(resting, 1, scheduled(resting))
+    assert asking.answer()[:2] == (2, "done")
+
+
+def test_half_a_request_as_a_drain_closes_connections_is_answered_when_its_other_half_has_come(make_site):
+    site = make_site(stop_ms=10_000, limits={"message": 100_000, "linger": 100_000}).start()
+    site.kernel, (asking, beside) = site.link(), [site.router() for _ in range(2)]
+    for each in (asking, beside):
+        looked(each)
+    request = asking.message(2)
+    asking.sock.sendall(encode(b"PROBE", b"1") + request[:-40])
+    assert asking.answer()[:2] == (1, "healthy")
+    site.deciding.inbox.put((site.deciding.leave,))
+    for each in (asking, beside):
+        assert each.answer()[:2] == (0, "closing")
+    assert beside.answer() is None
+    asking.sock.sendall(request[-40:])
+    assert asking.answer()[:2] == (2, "later")
+    assert asking.answer() is None
+    site.thread.join(PATIENCE)
+    assert site.deciding.ended
+
+
 def test_a_request_that_crosses_the_close_of_a_resting_connection_never_runs_and_resets_nothing(resting):
     asking, beside = resting.resting
     resting.move_on()
@@ -283,37 +362,6 @@
     site = make_site(limits={"message": 1_000}).start()
     site.kernel, router = site.link(), site.router()
     router.submit(1)
-def test_half_a_request_keeps_a_resting_connection_until_its_other_half_has_come(resting):
-    asking, beside = resting.resting
-    request = asking.message(2)
-    asking.sock.sendall(encode(b"PROBE", b"1") + request[:-40])
-    assert asking.answer()[:2] == (1, "healthy")  # what came with it has been taken up
-    resting.move_on()
-    assert beside.answer() is None  # both were looked at
-    asking.sock.sendall(request[-40:])
-    ends(resting, 1, scheduled(resting))
-    assert asking.answer()[:2] == (2, "done")
-
-
-def test_half_a_request_as_a_drain_closes_connections_is_answered_when_its_other_half_has_come(make_site):
-    site = make_site(stop_ms=10_000, limits={"message": 100_000, "linger": 100_000}).start()
-    site.kernel, (asking, beside) = site.link(), [site.router() for _ in range(2)]
-    for each in (asking, beside):
-        looked(each)
-    request = asking.message(2)
-    asking.sock.sendall(encode(b"PROBE", b"1") + request[:-40])
-    assert asking.answer()[:2] == (1, "healthy")
-    site.deciding.inbox.put((site.deciding.leave,))
-    for each in (asking, beside):
-        assert each.answer()[:2] == (0, "closing")
-    assert beside.answer() is None
-    asking.sock.sendall(request[-40:])
-    assert asking.answer()[:2] == (2, "later")
-    assert asking.answer() is None
-    site.thread.join(PATIENCE)
-    assert site.deciding.ended
-
-
     running = scheduled(site)
     clock_of(site)(5.0)
     half = router.message(2)
@@ -399,6 +447,31 @@
     assert time.monotonic() - begun < (1.5 if reads else 2.0)  # its stop_ms, and an exit on a busy machine
 
 
+def test_a_log_that_nobody_reads_holds_up_neither_answers_nor_the_drain(make_site):
+    unread, full = os.pipe()
+    os.set_blocking(full, False)
+    with pytest.raises(BlockingIOError):
+        while True:
+            os.write(full, b"\n" * 4096)
+    os.set_blocking(full, True)  # of the pipe's one end, which the program is given
+    site = make_site().spawn(full)
+    os.close(full)
+    site.kernel, router = site.link(), site.router()
+    looked(router)
+    assert os.read(unread, 1 << 20).strip() == b""  # from here on there is room again
+    router.submit(1)
+    running = scheduled(site)
+    site.process.send_signal(signal.SIGTERM)
+    assert router.answer()[:2] == (0, "closing")
+    ends(site, 1, running)
+    assert router.answer()[:2] == (1, "done")
+    router.sock.close()
+    assert site.process.wait(PATIENCE) == 0
+    with open(unread) as log:
+        lines = log.read().splitlines()
+    assert "event=log_lines_dropped count=2" in lines[0] and any("event=leaving" in line for line in lines)
+
+
 # Floods
 
 
@@ -493,31 +566,6 @@
     while (other := scheduled(site)) == each.ident:  # sent again behind the fence: nothing confirmed it
         pass
     ends(site, each.number + 1, other)
-def test_a_log_that_nobody_reads_holds_up_neither_answers_nor_the_drain(make_site):
-    unread, full = os.pipe()
-    os.set_blocking(full, False)
-    with pytest.raises(BlockingIOError):
-        while True:
-            os.write(full, b"\n" * 4096)
-    os.set_blocking(full, True)  # of the pipe's one end, which the program is given
-    site = make_site().spawn(full)
-    os.close(full)
-    site.kernel, router = site.link(), site.router()
-    looked(router)
-    assert os.read(unread, 1 << 20).strip() == b""  # from here on there is room again
-    router.submit(1)
-    running = scheduled(site)
-    site.process.send_signal(signal.SIGTERM)
-    assert router.answer()[:2] == (0, "closing")
-    ends(site, 1, running)
-    assert router.answer()[:2] == (1, "done")
-    router.sock.close()
-    assert site.process.wait(PATIENCE) == 0
-    with open(unread) as log:
-        lines = log.read().splitlines()
-    assert "event=log_lines_dropped count=2" in lines[0] and any("event=leaving" in line for line in lines)
-
-
     assert beside.answer()[:2] == (1, "done")
     if "hung_up" not in (first, second):
         each.router.say(b"PROBE", b"9")
