An endpoint group whose effect is not told or not known may not run twice

Cause: found by reading. handover.app_server took a missing effect for safe, and refused the whole file for an unknown one; the first would run a mutating group again.

Change: whatever is none of the three known words is unsafe, in the adapter as in serve.

--- a/lilacwalk/handover.py
+++ b/lilacwalk/handover.py
@@ -95,7 +95,7 @@
             benefit=number(each, "worth", 1.0),
             slo_time=slo_time,
             async_timeout=timeout,
-            effect=choice(each, "effect", EFFECTS, "safe"),
+            effect=EFFECTS.get(str(each.get("effect")), Effect.MUTATING),  # in doubt it may not run twice
             slo_stretch=number(each, "aim_stretch", 0.0),
             late_benefit=number(each, "late_worth", 0.0),
             window=late(number(each, "dedup_window_ms", 0.0)),
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -4,7 +4,7 @@
 
 from lilacwalk import handover
 from lilacwalk.benchwire import codec
-from lilacwalk.decisions.interface import EndpointGroup, Exchange
+from lilacwalk.decisions.interface import Effect, EndpointGroup, Exchange
 from lilacwalk.lifecycle.clock import Clock
 from lilacwalk.memory.kept import Kept, READ_LATE
 from lilacwalk.wire.lines import LineParser
@@ -105,3 +105,9 @@
     for each in (one, other):
         each.groups, each.customers = [vars(part) for part in each.groups], [vars(p) for p in each.customers]
     assert vars(one) == vars(other) and one.groups[0]["calls"] and one.groups[0]["skip_benefit"] == 0.3
+
+
+@pytest.mark.parametrize("told", [{}, {"effect": "odd"}, {"effect": ""}, {"effect": None}, {"effect": 3}])
+def test_an_endpoint_group_whose_effect_is_unknown_may_not_run_twice(told):
+    settings = {"classes": [{"name": "a", "aim_ms": 1800.0, "hard_limit_ms": 4600.0} | told]}
+    assert handover.app_server(settings, 7).groups[0].effect is Effect.MUTATING
