A customer's share is spent by what is let in, not by what was asked

Cause: Controller._over_share compared rates of attempts. Who is denied asks again (3.6 attempts a request), so all seemed over their share, and the least of five noisy rates was the yardstick. Ruled out: the draw alone (p_a 0.87 in the mean).

Change: a credit for each customer, which grows with its share and is spent by what is let in, given back by what never ran. Beyond it an exchange counts by its benefit there, so that it runs after all others; while something is short it is denied at the door and asks not to be tried elsewhere, where it would be over, too. What had been taken for granted: that attempts are requests.

The story of who yields set rates of attempts by hand; it now lets in until the share is spent, with the same expectations and one more.

--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -47,6 +47,8 @@
 OVER_SHARE = 1.2  # times its share before a customer counts as over it: routers spread unevenly
 
 
+SPLIT = 0.7  # of what starts here goes by shares at least: a fast server gets more than its part
+SAVED = 3  # seconds of its share, or exchanges, that a customer may save up: chance alone rarely uses more
 class Controller:
     def __init__(self, server: AppServer, now: int) -> None:
         self.server, self.now, self.began = server, now, now
@@ -84,7 +86,9 @@
         self.calls_crowded = False
         self.unread_wait = 0.0  # from reaching the machine until read
         self.last_progress = self.last_timer = self.call_ready = self.last_call = now
-        self.customer_counts, self.customer_rates = (dict.fromkeys(server.customers, 0.0) for _ in range(2))
+        self.credit = dict.fromkeys(server.customers, float(SAVED))  # what may yet be let in within its share
+        self.allowed = sum(each.allowance for each in server.customers) / server.fleet
+        self.starts, self.start_rate = 0, 0.0
         self.caller_counts: dict[int, float] = {}
         self.returning = 1.0  # part of the arrivals whose caller came here within the last seconds
         self.closes_idle = self.stalled = self.deaf = False
@@ -135,8 +139,6 @@
         self.arrivals += 1
         self.returning += LEARN * ((ex.caller in self.caller_counts) - self.returning)
         self.caller_counts[ex.caller] = self.caller_counts.get(ex.caller, 0.0) + 1
-        if ex.customer:
-            self.customer_counts[ex.customer] += 1
         self.unread_wait += 0.1 * (ex.read - ex.arrived - self.unread_wait)
         self.open[ex] = None
         self.memory += ex.hold_kb
@@ -234,9 +236,7 @@
     def _tick(self) -> None:
         self.rate = self.arrivals * SECOND / TICK
         self.arrivals = 0
-        for customer, seen in self.customer_counts.items():
-            self.customer_rates[customer] += 0.3 * (seen * SECOND / TICK - self.customer_rates[customer])
-            self.customer_counts[customer] = 0
+        self._pay_shares()
         counts = self.caller_counts.items()
         self.caller_counts = {caller: seen * 0.8 for caller, seen in counts if seen > 0.05}
         known = {None, *self.caller_counts}  # callers restart under new numbers: what they were goes too
@@ -287,8 +287,11 @@
         full = self.memory + key_kb > MEMORY_LIMIT * self.server.memory_kb
         if ex.due - self.now <= self.margin or left or self.stalled or full:
             self._give_up(ex)
-        elif not admitted or self._over_share(ex) or not self._makes_it(ex, self._line_before(ex)):
-            self._give_up(ex, not_elsewhere=self._fleet_short(ex))
+        elif (over := self._over_share(ex)) or not admitted or not self._makes_it(ex, self._line_before(ex)):
+            self._give_up(ex, not_elsewhere=over or self._fleet_short(ex))
+        elif ex.customer and self.credit[ex.customer] >= 1:
+            self.credit[ex.customer] -= 1
+            ex.within_share = True
         return ex.answered
 
     def _start_held(self) -> None:
@@ -317,6 +320,7 @@
             if follower.place is Place.HELD:
                 self.held.remove(follower)
                 follower.place = Place.JOINED
+        self.starts += 1
                 self.out.join(follower)
 
     def _enter_cores(self, ex: Exchange) -> None:
@@ -390,18 +394,25 @@
         took. Where all are denied for what a slow spell taught, the dependency is never seen to be well."""
         return not self.calling and self.now - self.last_call > PROBE_CALLS
 
-    def _over_share(self, ex: Exchange) -> bool:
-        """Beyond its share a customer brings little: it yields first, but only while something is short.
+    def _pay_shares(self) -> None:
+        """Each tick its share, of the fleet's allowances or of what this server starts, if that is more."""
+        self.start_rate += 0.3 * (self.starts * SECOND / TICK - self.start_rate)
+        self.starts = 0
+        split = max(OVER_SHARE, SPLIT * self.start_rate / max(0.01, self.allowed))
+        for customer in self.credit:
+            rate = split * customer.allowance / self.server.fleet
+            self.credit[customer] = min(SAVED * max(1.0, rate), self.credit[customer] + rate * TICK / SECOND)
 
-        Rates are compared with the allowance and with the other customers: where all are over, the server
-        merely gets more than its part. Hurts where a router sends one customer to few servers."""
-        short = self.p_a < 0.98 or len(self.held) > self.server.cores
-        if not ex.customer or self.server.over_share_benefit >= 0.5 or not short:
+    def _over_share(self, ex: Exchange) -> bool:
+        """Beyond its share a customer brings little: it runs after all others, and yields at the door while
+        something is short. What counts is what was let in, not what was asked: who is denied asks again, and
+        all seemed over. Hurts where a router sends one customer to few servers."""
+        if not ex.customer or not ex.customer.allowance or self.server.over_share_benefit >= 0.5:
+            return False
+        if self.credit[ex.customer] >= 1:
             return False
-        parts = {each: rate / max(0.01, each.allowance / self.server.fleet)
-                 for each, rate in self.customer_rates.items()}
-        part, fair = parts[ex.customer], OVER_SHARE * max(1.0, min(parts.values()))
-        return part > fair and self.chance.random() < 1 - fair / part
+        ex.density *= self.server.over_share_benefit
+        return self.p_a < 0.98 or len(self.held) > self.server.cores
 
     def _room(self) -> bool:
         return self.core_use < 0.85 and self.run_queue < self.server.cores
@@ -476,6 +487,8 @@
                 other.repeats = heirs[0]
             self._keep(heirs[0])
         if ex.kept and not heirs:
+        if ex.within_share:
+            self.credit[ex.customer] += 1
             self._key_expired(ex)
             self.out.drop_key(ex)
 
--- a/lilacwalk/decisions/interface.py
+++ b/lilacwalk/decisions/interface.py
@@ -127,6 +127,7 @@
     call_wait: int = 0
     called_unsure: bool = False  # a call ended in a way that does not prove it never ran
     kept: bool = False
+    within_share: bool = False  # its customer's credit was taken for it
     followers: list[Exchange] = field(default_factory=list)
 
 
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -1,7 +1,9 @@
 """The draw, the PI loop and the start."""
 
+import pytest
+
 from lilacwalk.decisions.controller import P_FLOOR, TICK
-from lilacwalk.decisions.interface import Advice, Customer, StopMode
+from lilacwalk.decisions.interface import Advice, Customer, Place, StopMode
 
 
 def serve_slowly(host, ticks, run):
@@ -124,17 +126,71 @@
     assert host.answers(ex) == ["deny"] and host.whats("stop") == [ex]
 
 
-def test_a_customer_far_over_its_share_yields_first_when_short(make_host):
+@pytest.fixture
+def sharing(make_host):
+    """A host, and two customers of which each may have ten exchanges a second."""
     calm, loud = Customer("calm", 10.0), Customer("loud", 10.0)
-    host = make_host(customers=[calm, loud], over_share_benefit=0.1)
-    host.controller.customer_rates = {calm: 8.0, loud: 1000.0}
-    assert not host.answers(host.arrive(customer=loud))  # nothing is short
+    return make_host(customers=[calm, loud], over_share_benefit=0.1), calm, loud
+
+
+def test_a_customer_far_over_its_share_yields_first_when_short(sharing):
+    host, calm, loud = sharing
+    for _ in range(6):  # nothing is short, and nobody is turned away for its share
+        ex = host.arrive(customer=loud)
+        assert not host.answers(ex)
+        host.finish(ex)
     host.controller.p_a = 0.97
-    denied = [host.answers(host.arrive(customer=loud)) for _ in range(10)]
-    assert denied.count(["deny"]) >= 9
+    denied = [host.arrive(customer=loud) for _ in range(10)]
+    assert [host.answers(ex) for ex in denied].count(["deny"]) >= 9
+    assert all(host.not_elsewhere[ex] for ex in denied if host.answers(ex))  # they are over it there, too
     assert not host.answers(host.arrive(customer=calm))
 
 
+def test_who_was_denied_and_asks_again_is_not_over_its_share_for_that(sharing):
+    host, calm, _ = sharing
+    host.controller.p_a = 0.0
+    for _ in range(100):
+        assert host.answers(host.arrive(customer=calm)) == ["deny"]
+        host.now += 100
+    host.controller.p_a = 0.97
+    assert [host.answers(host.arrive(customer=calm)) for _ in range(3)].count([]) >= 2
+
+
+def test_what_is_let_in_and_never_ran_is_given_back_to_its_customers_share(sharing):
+    host, calm, _ = sharing
+    before = host.controller.credit[calm]
+    held = [host.arrive(customer=calm) for _ in range(4)][-1]
+    assert host.controller.credit[calm] == before - 3  # the fourth is over it, which matters when short
+    host.round(*[(host.controller.gone, ex) for ex in list(host.controller.held)])
+    assert held.place is Place.OVER and host.controller.credit[calm] == before - 2  # two ran
+
+
+def test_what_is_over_its_share_runs_after_what_is_within(sharing):
+    host, calm, loud = sharing
+    running = [host.arrive(customer=loud) for _ in range(3)][:2]
+    over, within = host.arrive(customer=loud), host.arrive(customer=calm)
+    for ex in running:
+        host.finish(ex)
+    assert within in host.whats("start") and over not in host.whats("start")
+
+
+def test_a_share_grows_with_what_this_server_starts(make_host):
+    one, other = Customer("one", 30.0), Customer("other", 10.0)
+    host = make_host(customers=[one, other], over_share_benefit=0.1, fleet=100)
+    for _ in range(40):  # ten ticks, ten starts a second: twenty times its part of the allowances
+        for _ in range(5):
+            host.finish(host.arrive())
+        host.wait(5_000)
+    assert host.controller.credit[one] > 10 and host.controller.credit[other] > 4
+
+
+def test_a_customer_without_an_allowance_has_no_share_to_be_over(make_host):
+    free = Customer("free", 0.0)
+    host = make_host(customers=[free], over_share_benefit=0.1)
+    host.controller.p_a, host.controller.credit[free] = 0.97, 0.0
+    assert [host.answers(host.arrive(customer=free)) for _ in range(2)].count([]) >= 1
+
+
 def test_unread_lines_lower_the_tokens(make_host):
     host = make_host(advice=Advice.TOKENS)
     host.wait(2_000)
