Where reading and connecting take more of the cores than runs, idle connections are kept

Cause: Controller._tend_connections closes after 0.25 s where few callers come back soon. That suits sites where opening is cheap; here it costs 26 to 52 ms of a run of 300, and a table that is full of who was here already denies the others at no cost.

Change: while it is over a half the time doubles each tick up to 8 s, under a quarter it halves again. The story of callers who seldom come back now gives a gauge that agrees with its runs.

--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -24,6 +24,8 @@
 T_REF = 0.55  # under the design's 1, for an answer after the SLO time is worth little; 0.4 to 0.7 were tried
 ADVICE_EVERY = SECOND // 10  # well within the time that callers remember what they were told
 CLOSE_AFTER = SECOND // 4  # time enough for an answer's caller to send its next at once
+CLOSE_LATEST = 8 * SECOND  # where new connections are dear 1, 3 and 30 s lose more, at full size
+DEAR, CHEAP = 0.5, 0.25  # of the crowd on the cores, what is no run: more than the runs, a third of them
 P_FLOOR = 0.05
 # Outstanding includes what is on its way and unread, so tokens leave room for it; 0.5 to 0.8 score alike.
 TOKENS_PART = 0.65
@@ -45,10 +47,10 @@
 SILENCE = 9  # expected gaps without progress before work counts as standing still: e^-9 by chance
 COMMON = 0.25  # part of a caller's tries from which their patience is one of its usual ones
 OVER_SHARE = 1.2  # times its share before a customer counts as over it: routers spread unevenly
-
-
 SPLIT = 0.7  # of what starts here goes by shares at least: a fast server gets more than its part
 SAVED = 3  # seconds of its share, or exchanges, that a customer may save up: chance alone rarely uses more
+
+
 class Controller:
     def __init__(self, server: AppServer, now: int) -> None:
         self.server, self.now, self.began = server, now, now
@@ -90,6 +92,9 @@
         self.allowed = sum(each.allowance for each in server.customers) / server.fleet
         self.starts, self.start_rate = 0, 0.0
         self.caller_counts: dict[int, float] = {}
+        # Seen on the cores in this tick; what of it is no run, but is read or connects; its part of late.
+        self.crowd = self.no_runs = self.no_run_part = 0.0
+        self.close_after = CLOSE_AFTER
         self.returning = 1.0  # part of the arrivals whose caller came here within the last seconds
         self.closes_idle = self.stalled = self.deaf = False
         # How unlike callers are is unknown at first: a warm server starts generous, a cold one does not.
@@ -218,6 +223,8 @@
         if gap > 2 * self.sweep:  # the whole process stood still, which is no sign of work that hangs
             self.last_progress += gap
         self.core_use, self.run_queue = core_use, run_queue
+        self.crowd += run_queue
+        self.no_runs += max(0.0, run_queue - self.on_cores)
         if self.held and run_queue < self.server.cores and self.on_cores >= self.limit and not self._cold():
             ceiling = self.server.cores * max(1.0, self.server.tip_multiple / 2)
             self.limit = min(ceiling, self.limit + 1)
@@ -313,6 +320,7 @@
     def _start(self, ex: Exchange) -> None:
         self.held.remove(ex)
         ex.ran, ex.started = True, self.now
+        self.starts += 1
         self._enter_cores(ex)
         self.memory += ex.hold_kb * (self.server.run_factor - 1)
         self.out.start(ex)
@@ -320,7 +328,6 @@
             if follower.place is Place.HELD:
                 self.held.remove(follower)
                 follower.place = Place.JOINED
-        self.starts += 1
                 self.out.join(follower)
 
     def _enter_cores(self, ex: Exchange) -> None:
@@ -480,6 +487,8 @@
         self.open.pop(ex, None)
         if ex.ran:
             return
+        if ex.within_share:
+            self.credit[ex.customer] += 1
         heirs = [other for other in ex.followers if other.place is Place.HELD]
         if heirs:
             heirs[0].repeats, heirs[0].followers = None, heirs[1:]
@@ -487,8 +496,6 @@
                 other.repeats = heirs[0]
             self._keep(heirs[0])
         if ex.kept and not heirs:
-        if ex.within_share:
-            self.credit[ex.customer] += 1
             self._key_expired(ex)
             self.out.drop_key(ex)
 
@@ -644,10 +651,20 @@
     def _tend_connections(self) -> None:
         """Idle connections tax the cores and fill the table until callers find no room. They pay only where
         callers come back soon: with far more callers than a server sees in seconds, each is closed after its
-        answer. Hurts where opening costs much and the table is large."""
-        if (self.returning < (0.6 if self.closes_idle else 0.4)) != self.closes_idle:
-            self.closes_idle = not self.closes_idle
-            self.out.close_idle(CLOSE_AFTER if self.closes_idle else 0)
+        answer. But where reading and connecting take more of the cores than runs, a table filled by those who
+        were here is the cheapest denial: then they are kept for seconds. Hurts where opening costs much and
+        the table is large; and, while they are kept, who finds no room though the cores have some."""
+        self.no_run_part += 0.3 * (self.no_runs / max(1.0, self.crowd) - self.no_run_part)
+        self.crowd = self.no_runs = 0.0
+        closes = self.returning < (0.6 if self.closes_idle else 0.4)
+        after = self.close_after
+        if self.no_run_part > DEAR:
+            after = min(CLOSE_LATEST, 2 * after)
+        elif self.no_run_part < CHEAP:
+            after = max(CLOSE_AFTER, after // 2)
+        if closes != self.closes_idle or closes and after != self.close_after:
+            self.out.close_idle(after if closes else 0)
+        self.closes_idle, self.close_after = closes, after
 
     def _advise(self) -> None:
         advice = self.server.advice
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -191,6 +191,20 @@
     assert [host.answers(host.arrive(customer=free)) for _ in range(2)].count([]) >= 1
 
 
+def test_idle_connections_stay_for_seconds_where_reading_and_connecting_take_more_than_runs(make_host):
+    host = make_host()
+    host.controller.returning = 0.0  # hardly anybody comes back
+    host.wait(5_000, run_queue=1.0)
+    assert host.whats("close_idle") == [2_500]
+    host.wait(50_000, run_queue=1.0)  # nothing runs: all that stands on the cores is no run
+    assert host.whats("close_idle") == [2_500, 5_000, 10_000, 20_000, 40_000, 80_000]
+    host.wait(100_000, run_queue=0.0)
+    assert host.whats("close_idle")[-1] == 2_500
+    host.controller.returning = 1.0
+    host.wait(5_000)
+    assert host.whats("close_idle")[-1] == 0
+
+
 def test_unread_lines_lower_the_tokens(make_host):
     host = make_host(advice=Advice.TOKENS)
     host.wait(2_000)
@@ -256,11 +270,11 @@
 def test_idle_connections_close_where_callers_seldom_come_back(host):
     for caller in range(100):  # each of many callers once: its connection would only fill the table
         host.arrive(caller=caller)
-        host.wait(1000)
+        host.wait(1000, run_queue=2.0)
     assert 0 < host.whats("close_idle")[-1] < 10_000
     for _ in range(100):
         host.arrive(caller=1)
-        host.wait(1000)
+        host.wait(1000, run_queue=2.0)
     assert host.whats("close_idle")[-1] == 0  # as long as callers like
 
 
