--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from lilacwalk.benchwire.host import Host
 from lilacwalk.decisions.interface import Advice, Effect, Ending, Place, StopMode
 
 
@@ -284,3 +285,41 @@
     assert advised and all(0 < value * callers <= survived for value in advised)
     host.wait(100_000, core_use=0.1, run_queue=0.0)
     assert host.whats("advise")[-1] * callers > survived  # warm: the crowd is another
+
+
+@pytest.mark.parametrize("effect", ["unsafe", "odd"])
+def test_an_overload_without_free_value_or_stops_and_with_what_may_never_run_twice(effect):
+    """Settings that some deployments have: nothing is said, nothing stopped, the roster follows health."""
+    host = Host()
+
+    def told(at, *lines):
+        return host.batch(at, list(enumerate(lines)))
+    acts = told(0.0, "start who=s nonce64=5 replicas_of_me=14 classes.count=2 classes.0.name=read "
+                "classes.0.aim_ms=1800.0 classes.0.hard_limit_ms=4600.0 classes.0.effect=safe "
+                "classes.0.worth=1.0 classes.1.name=publish classes.1.aim_ms=1800.0 "
+                f"classes.1.hard_limit_ms=4600.0 classes.1.effect={effect} classes.1.worth=10.0 "
+                "classes.1.write=true family_info.cpus=2 family_info.ram_kb=9000.0 "
+                "family_info.run_factor=16.0 family_info.stop_mode=silent "
+                "family_info.advert=silent family_info.readiness=true feedback.how=piggyback "
+                "rules.tip_multiple=8.0 rules.drain_grace_ms=2000.0 rules.answer_slack_ms=80.0")
+    names, finals, ran = set(), {}, set()
+    gauges = "tick_due who=s ctx=1 health_info=core_use:1.0,on_cores:4"
+    for turn in range(1, 400):
+        lines = [f"incoming who=s rid={turn}x{each} class={('read', 'publish')[each % 2]} ttl_ms=900.0 "
+                 f"footprint=20.0 neighbour={each} write={each % 2}" for each in range(4) if turn < 360]
+        done = [] if turn % 6 else [rid for rid in sorted(ran) if rid not in finals][:1]
+        lines += [f"work_done who=s rid={rid} disposition=100 lag_ms=300.0" for rid in done]
+        finals |= dict.fromkeys(done, "done")
+        for act in acts + told(25.0 * turn, *lines, gauges):
+            name, _, *fields = act.split(" ")
+            rid = fields[0].removeprefix("rid=") if fields else ""
+            names.add(name)
+            if name == "serve":
+                assert rid not in ran and rid not in finals
+                ran.add(rid)
+            elif name in ("refuse", "abort"):
+                assert rid not in finals and (name == "abort" or rid not in ran or rid.endswith(("x0", "x2")))
+                finals[rid] = name
+        acts = []
+    assert not names & {"signal", "abort_work", "go_on", "answer_from"}
+    assert len(finals) == 4 * 359 and set(finals.values()) == {"done", "refuse", "abort"}
