What a slow spell at the start taught does not make a server deny for good

Played by hand with the controller alone: after a first call of 0.9 of the SLO time (a silent index: it is given up then) none of 300 exchanges was let in over 30 s of idle cores and a healthy dependency; likewise after thirty such calls, after runs that a standstill stretched where calls are made, and where all is mutating.

Cause: Controller._call_wait took the quiet level where no call had been made for a second, and after such a start that is slow, too; _makes_it tried one on idle cores only with no call to wait for, and never a mutating one; _make_calls gave up at the call what had been let in. Nothing ran, nothing was unlearned. Ruled out: p_a (1.0), stalls, calls in hand (none).

Change: a call after a second without any is taken to need no time; on idle cores what a run is expected to take counts for nothing, at the call likewise; a mutating one is tried after a second in which nothing moved. When it harms: one exchange a second while a dependency is really slow.

--- a/lilacwalk/decisions/controller.py
+++ b/lilacwalk/decisions/controller.py
@@ -42,7 +42,7 @@
 MUTE = 10  # usual call times: beyond what slowness does to most calls at once; soon enough for another
 OUTLIER = 3  # a call counts for so many usual ones at most: one lost reply must not look like a crowd
 CROWDED = 2  # times the quiet call time: beyond what scatter does to a mean of ten
-PROBE_CALLS = SECOND  # without a call: one a second is little to a dependency even from hundreds of servers
+PROBE = SECOND  # without any: one a second is little, to a dependency even from hundreds of servers
 MAKES_IT = 0.7  # share of the expected run time that must fit: run times scatter widely around their mean
 SILENCE = 9  # expected gaps without progress before work counts as standing still: e^-9 by chance
 COMMON = 0.25  # part of a caller's tries from which their patience is one of its usual ones
@@ -356,15 +356,18 @@
         late_too = ex.group.late_benefit and (self._room() or ex.group.late_benefit >= 0.5)
         return ex.due - self.margin if late_too else min(ex.slo_due, ex.due - self.margin)
 
-    def _makes_it(self, ex: Exchange, wait: float) -> bool:
+    def _makes_it(self, ex: Exchange, in_line: float) -> bool:
         """Whether it can be answered while that still earns something, as run times go here now."""
         until = min(self._earns_until(ex), self.leave_by or inf)
+        wait = in_line
         if ex.group.calls and not ex.group.skip_benefit:
             wait += self._call_wait()
-        if not self.on_cores and not wait and self._room() and ex.group.effect is not Effect.MUTATING:
-            # Departure: with idle cores one is tried whatever it is expected to take. What a standstill
-            # taught is unlearned by running alone; where all are denied for it nothing would run again.
-            return self.now < until
+        rested = ex.group.effect is not Effect.MUTATING or self.now - self.last_progress > PROBE
+        if not in_line and self._idle() and rested:
+            # Departure: with idle cores one is tried whatever its run is expected to take. What a standstill
+            # taught is unlearned by running alone; where all are denied for it nothing would run again. One
+            # that may be tried nowhere else once it began only after a while without any.
+            return self.now + wait < until
         return self.now + wait + MAKES_IT * ex.work <= until
 
     def _age(self, ex: Exchange) -> int:
@@ -391,15 +394,16 @@
     def _call_wait(self) -> float:
         """Until all that cannot go on without a call has had one."""
         if self._calls_rested():
-            return self.quiet_call_time
+            return 0.0
         needing = sum(1 for ex in self.open
                       if ex.group.calls and not ex.group.skip_benefit and not ex.answered)
         return self.call_time * (1 + needing / self.call_limit)
 
     def _calls_rested(self) -> bool:
-        """Departure: none was made for a while, so the next one is taken to be quick, whatever the last ones
-        took. Where all are denied for what a slow spell taught, the dependency is never seen to be well."""
-        return not self.calling and self.now - self.last_call > PROBE_CALLS
+        """Departure: none was made for a while, so the next one is taken to need no time. Where all are
+        denied for what a slow spell taught, the dependency is never seen to be well; and after a start in
+        such a spell the quiet level knows no better."""
+        return not self.calling and self.now - self.last_call > PROBE
 
     def _pay_shares(self) -> None:
         """Each tick its share, of the fleet's allowances or of what this server starts, if that is more."""
@@ -421,6 +425,9 @@
         ex.density *= self.server.over_share_benefit
         return self.p_a < 0.98 or len(self.held) > self.server.cores
 
+    def _idle(self) -> bool:
+        return not self.on_cores and self._room()
+
     def _room(self) -> bool:
         return self.core_use < 0.85 and self.run_queue < self.server.cores
 
@@ -566,9 +573,10 @@
         for ex in list(waiting):
             group = ex.group
             again = not ex.called_unsure or group.effect is Effect.REPEATABLE
-            first = self.quiet_call_time if self._calls_rested() else self.call_time
+            first = 0.0 if self._calls_rested() else self.call_time
+            run = 0.0 if self._idle() else MAKES_IT / 2 * ex.work  # what was begun on idle cores goes on
             turn = first + self.call_time * waiting.index(ex) / self.call_limit
-            late = max(self.now, self.call_ready) + turn + MAKES_IT / 2 * ex.work > self._earns_until(ex)
+            late = max(self.now, self.call_ready) + turn + run > self._earns_until(ex)
             yields = (self.calls_crowded and self._calls_full()
                       and group.benefit * (1 - group.skip_benefit) < self.most_lost)
             if again and not late and not (yields and group.skip_benefit > 0):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lilacwalk.benchwire.host import Host
-from lilacwalk.decisions.interface import Advice, Effect, Ending, Place, StopMode
+from lilacwalk.decisions.interface import Advice, Effect, Ending, Exchange, Place, StopMode
 
 
 @pytest.mark.parametrize("effect", list(Effect))
@@ -184,6 +184,35 @@
     assert not host.answers(host.arrive())
 
 
+@pytest.mark.parametrize("effect", list(Effect))
+@pytest.mark.parametrize(("calls", "slow_calls", "slow_runs"), [
+    (1, 1, 0), (1, 30, 0), (1, 0, 60), (0, 0, 60)],
+    ids=["its first call", "its first calls", "runs with calls", "runs"])
+def test_what_a_slow_spell_at_the_start_taught_does_not_deny_for_good(
+        make_host, group, effect, calls, slow_calls, slow_runs):
+    """A start while the dependency is silent, or a standstill: all took the SLO time, then all is well."""
+    host = make_host(groups=[group(calls=bool(calls), effect=effect)], call_share=4.0, call_span=50_000)
+    made, then = host.controller, Exchange(host.server.groups[0], host.now, host.now, host.now, 1.0)
+    for _ in range(slow_calls):
+        made._learn_call(9_300)
+    for _ in range(slow_runs):
+        made._learn_run(then, 20_000)
+    served = []
+    for _ in range(200):  # one after the other, well apart
+        ex = host.arrive()
+        if not host.answers(ex):
+            host.wait(300, run_queue=1.0)
+            if calls:
+                host.round((made.at_call, ex))
+                host.wait(200, run_queue=0.0)
+                host.round((made.called, ex, Ending.OK, 200))
+            host.wait(300, run_queue=1.0)
+            host.finish(ex)
+            served.append(not host.answers(ex))
+        host.wait(1_000, core_use=0.1, run_queue=0.0)
+    assert served.count(True) > 100 and all(served[-50:])
+
+
 def test_work_that_stands_still_is_denied_until_something_moves(host):
     running = [host.arrive(), host.arrive()]
     held = host.arrive()
