A log without a descriptor behind it is written as ever

Seen: the whole suite on a clean checkout, 1,355 pass and one fails: test_the_command_without_a_usable_file_ends_with_2_and_every_fault, UnsupportedOperation('fileno').

Cause: log.start_logging, since a log that nobody reads holds up nothing: the runner of commands in that test gives a standard error without a descriptor, which cannot be asked for room.

Change: there the plain handler writes.

--- a/lilacwalk/log.py
+++ b/lilacwalk/log.py
@@ -62,7 +62,10 @@
 
 
 def start_logging(level: int) -> None:
-    handler = Unwaiting(sys.stderr)
+    try:
+        handler = Unwaiting(sys.stderr)
+    except OSError:  # no descriptor lies behind it, and nothing there is waited for
+        handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(KeyValue())
     logging.basicConfig(level=level, handlers=[handler])
     logging.raiseExceptions = False  # a closed standard error is no reason to write to it once more
