The stories of the window share how the first of a key came to run

Cause: three stories submitted one of the key k1, ran it and took its answer by the same four lines.

Change: ran_once in the tests' own file; each assertion stays.

--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -117,6 +117,15 @@
 # Repeats of what must not run twice
 
 
+def ran_once(site):
+    """One of the key k1 has run; when it reached the machine."""
+    router, came = site.router(), int(time.time() * 1000)
+    router.submit(1, "once", k="k1", s=came)
+    ends(site, 1, scheduled(site))
+    assert router.answer()[1] == "done"
+    return came
+
+
 def test_two_that_repeat_each_other_in_one_read_run_once(site):
     router = site.router()
     router.sock.sendall(router.message(1, "once", k="k1") + router.message(2, "once", k="k1"))
@@ -147,10 +156,7 @@
 
 
 def test_a_repeat_that_came_in_the_window_and_is_read_after_it_does_not_run(site, moved):
-    router, came = site.router(), int(time.time() * 1000)
-    router.submit(1, "once", k="k1", s=came)
-    ends(site, 1, scheduled(site))
-    assert router.answer()[1] == "done"
+    came = ran_once(site)
     moved(60.5)  # the window is 60 s
     last = site.router()
     last.submit(1, "once", k="k1", s=came + 59_990)
@@ -158,10 +164,7 @@
 
 
 def test_one_read_when_what_it_may_repeat_is_forgotten_fails_and_one_from_after_the_window_runs(site, moved):
-    router, came = site.router(), int(time.time() * 1000)
-    router.submit(1, "once", k="k1", s=came)
-    ends(site, 1, scheduled(site))
-    assert router.answer()[1] == "done"
+    came = ran_once(site)
     moved(63.0)
     late = site.router()
     late.submit(1, "once", k="k1", s=came + 59_990)
@@ -172,10 +175,7 @@
 
 
 def test_a_repeat_just_behind_the_window_fails_unrun_and_a_little_later_it_runs(site, moved):
-    router, came = site.router(), int(time.time() * 1000)
-    router.submit(1, "once", k="k1", s=came)
-    ends(site, 1, scheduled(site))
-    assert router.answer()[1] == "done"
+    came = ran_once(site)
     moved(60.5)
     late = site.router()
     late.submit(1, "once", k="k1", s=came + 60_045)
