--- /dev/null
+++ b/review/test_small.py
@@ -0,0 +1,65 @@
+"""The fault of each case in small, without time or chance: one test a case, in their order.
+
+They are not part of the default test run. `KNOWN-RED.txt` names them.
+"""
+
+import copy
+import time
+
+import pytest
+
+from tests.conftest import SETTINGS, AppServerHarness
+
+DEDUPLICATED = "once"
+
+
+@pytest.fixture
+def start(tmp_path):
+    """Starts app servers with a connected executor; they are ended after the test."""
+    harnesses = []
+
+    def start_one(effect=None, cores=4, limits=None):
+        settings = copy.deepcopy(SETTINGS)
+        settings["family_info"]["cpus"] = cores
+        if effect is not None:
+            settings["classes"][0]["effect"] = effect
+        harness = AppServerHarness(tmp_path, settings=settings)
+        harness.process_config["limits"] = limits or {"sockets": 512}
+        harnesses.append(harness)
+        harness.start()
+        harness.executor = harness.accept_executor_link()
+        return harness
+
+    yield start_one
+    for harness in harnesses:
+        harness.end()
+
+
+def commands_until_next_poll(executor):
+    """Returns the words of all commands up to the second gauge request from now."""
+    commands = []
+    for _ in range(2):
+        while (words := executor.receive_message()[0])[0] != "SYSINFO":
+            commands.append(words)
+        executor.send(f"INFO {words[1]} 0.1 0")
+    return commands
+
+
+def test_of_three_tries_with_one_key_read_together_one_runs_if_the_first_is_too_late(start):
+    """Case 1: after a stall, the first try has expired and two repeats of it have not."""
+    harness = start()
+    proxy = harness.connect_proxy()
+    late = int(time.time() * 1000) - 2000
+    tries = [
+        proxy.encode_submit(1, DEDUPLICATED, k="key", s=late, d=1000),
+        proxy.encode_submit(2, DEDUPLICATED, k="key"),
+        proxy.encode_submit(3, DEDUPLICATED, k="key"),
+    ]
+    harness.event_loop.event_queue.process_in_one_iteration(
+        lambda: proxy.sock.sendall(b"".join(tries))
+    )
+    assert proxy.receive_response()[:2] == (1, "later")
+    scheduled = [
+        words[1] for words in commands_until_next_poll(harness.executor) if words[0] == "SCHED"
+    ]
+    assert len(scheduled) == 1
