--- a/review/test_small.py
+++ b/review/test_small.py
@@ -11,6 +11,7 @@
 from tests.conftest import SETTINGS, AppServerHarness
 
 DEDUPLICATED = "once"
+MUTATING = "read"
 
 
 @pytest.fixture
@@ -63,3 +64,19 @@
         words[1] for words in commands_until_next_poll(harness.executor) if words[0] == "SCHED"
     ]
     assert len(scheduled) == 1
+
+
+def test_a_mutating_run_that_ends_behind_the_replay_is_not_scheduled_again(start):
+    """Case 2: the run ends while the answer to the replay fence is on its way."""
+    harness = start(effect="unsafe")
+    proxy = harness.connect_proxy()
+    proxy.submit(1, MUTATING)
+    request_id = harness.executor.receive("SCHED")[0][1]
+    harness.executor.reset()
+    executor = harness.accept_executor_link(ready=False)
+    executor.send("BOOTED steady 9000")
+    fence = executor.receive("SYSINFO")[0][1]
+    result = f"REAP 1 {request_id} success 3 2\r\nok\r\n"
+    executor.sock.sendall(f"INFO {fence} 0.5 1\r\n{result}".encode())
+    assert proxy.receive_response()[:2] in ((1, "done"), (1, "error"))
+    assert ["SCHED", request_id, MUTATING, "5"] not in commands_until_next_poll(executor)
