--- a/review/test_small.py
+++ b/review/test_small.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from tests.conftest import SETTINGS, AppServerHarness
+from lilacwalk.protocols.resp import encode_array
+from tests.conftest import SETTINGS, AppServerHarness, finish_execution
 
 DEDUPLICATED = "once"
 MUTATING = "read"
@@ -80,3 +81,23 @@
     executor.sock.sendall(f"INFO {fence} 0.5 1\r\n{result}".encode())
     assert proxy.receive_response()[:2] in ((1, "done"), (1, "error"))
     assert ["SCHED", request_id, MUTATING, "5"] not in commands_until_next_poll(executor)
+
+
+def test_five_large_results_of_one_iteration_reach_a_router_that_reads(start):
+    """Case 3: the results exceed the send buffer of 32 MB and 384 descriptors."""
+    harness = start(cores=8, limits={"memory_mb": 32, "sockets": 384})
+    proxy = harness.connect_proxy()
+    requests = [(b"%d" % tag, f"{tag:016x}") for tag in range(1, 6)]
+    for tag, request_id in requests:
+        fields = f"i={request_id},s={int(time.time() * 1000)},t=acme,d=50000,m=8.0,p=0.5"
+        proxy.sock.sendall(encode_array(b"SUBMIT", tag, b"read", fields.encode(), b"hello"))
+        harness.executor.receive("SCHED")
+    harness.event_loop.event_queue.process_in_one_iteration(
+        *(
+            lambda number=number, request_id=request_id: finish_execution(
+                harness, number, request_id, b"x" * 4096
+            )
+            for number, (_, request_id) in enumerate(requests, 1)
+        )
+    )
+    assert [proxy.receive_response()[1] for _ in requests] == ["done"] * 5
