A request that must not run twice is not dispatched again after a lost link

Each client got one response.

Cause: after the replay fence every command without an acknowledgement was sent again. If the execution ended between the answer to the fence and the second SCHED, the executor started another one. From a record: SCHED read at 2543.8 ms, link lost, new link at 2565.3, run 1 ends at 2576.1, the same SCHED read at 2580.0, run 2. One SUBMIT and no second event, so neither a retry nor a replayed event.

Change: CommandDelivery (server/command_delivery.py) holds for each command whether it may be read twice, and whether every byte of it was offered to the socket. What cannot have left the process is sent; idempotent dispatches and cancels are sent again; any other dispatch is not. Its request becomes unconfirmed: no place in the concurrency limit, no part in stall detection, ended by its execution, or failed at its deadline and released. Requests with an idempotency key had the same fault.

--- a/lilacwalk/overload/controller.py
+++ b/lilacwalk/overload/controller.py
@@ -18,6 +18,7 @@
     DrainStarted,
     Event,
     ExecutionFinished,
+    ExecutionUnconfirmed,
     ExecutorLinkChanged,
     RequestReceived,
     ServerStarted,
@@ -169,22 +170,30 @@
         match event:
             case RequestReceived(request):
                 self._request_received(request)
-            case ExecutionFinished(request, outcome):
-                self._execution_finished(request, outcome)
             case TimerExpired(core_use, run_queue):
                 self._timer_expired(core_use, run_queue)
-            case CallRequested(request):
-                self._call_requested(request)
-            case CallFinished(request, outcome, elapsed):
-                self._call_finished(request, outcome, elapsed)
             case ClientGone(request):
                 self.parts.termination.abandon(request)
-            case ExecutorLinkChanged(is_up):
-                self.parts.stall_detector.set_executor_link(is_up)
             case DrainStarted(stop_at):
                 self._drain_started(stop_at)
             case ServerStarted():
                 self._server_started()
+            case _:
+                self._handle_execution_event(event)
+
+    def _handle_execution_event(self, event: Event) -> None:
+        """Handles an event of an execution, of its dependency call or of the executor's link."""
+        match event:
+            case ExecutionFinished(request, outcome):
+                self._execution_finished(request, outcome)
+            case ExecutionUnconfirmed(request):
+                self._execution_unconfirmed(request)
+            case CallRequested(request):
+                self._call_requested(request)
+            case CallFinished(request, outcome, elapsed):
+                self._call_finished(request, outcome, elapsed)
+            case ExecutorLinkChanged(is_up):
+                self.parts.stall_detector.set_executor_link(is_up)
 
     def _server_started(self) -> None:
         parts = self.parts
@@ -244,10 +253,23 @@
         request.answered = True
         parts.termination.release(request)
 
+    def _execution_unconfirmed(self, request: Request) -> None:
+        """Stops counting an execution that may not exist.
+
+        If no other execution is left, a stall can no longer be observed, so none is assumed.
+        """
+        load = self.parts.load
+        if request.state is not RequestState.RUNNING:
+            return
+        load.suspend_execution(request)
+        if not load.running:
+            self._record_progress()
+
     def _call_requested(self, request: Request) -> None:
         parts = self.parts
         self._record_progress()
-        parts.load.end_execution()
+        if request.state is not RequestState.UNCONFIRMED:
+            parts.load.end_execution()
         request.call_pending_since = parts.context.now
         parts.dependency.add_pending(request)
 
--- a/lilacwalk/overload/events.py
+++ b/lilacwalk/overload/events.py
@@ -40,6 +40,17 @@
     outcome: Outcome
 
 
+@dataclass(frozen=True, slots=True)
+class ExecutionUnconfirmed:
+    """The executor may not have received the dispatch of a request, which must not be repeated.
+
+    If the request is executing, its further events follow as usual. If it is not, the host ends it
+    by `ExecutionFinished` once nobody waits for its result.
+    """
+
+    request: Request
+
+
 @dataclass(frozen=True, slots=True)
 class CallRequested:
     """An execution is waiting until its dependency call is made or skipped."""
@@ -81,6 +92,7 @@
 Event = (
     RequestReceived
     | ExecutionFinished
+    | ExecutionUnconfirmed
     | TimerExpired
     | CallRequested
     | CallFinished
--- a/lilacwalk/overload/model.py
+++ b/lilacwalk/overload/model.py
@@ -61,6 +61,7 @@
     RUNNING = auto()
     CALL_PENDING = auto()  # waits until the dependency call is made or skipped
     CALL_IN_PROGRESS = auto()
+    UNCONFIRMED = auto()  # dispatched, but the executor may not have received the dispatch
     COALESCED = auto()  # waits for the result of the request of which it is a duplicate
     FINISHED = auto()
 
--- a/lilacwalk/overload/server_load.py
+++ b/lilacwalk/overload/server_load.py
@@ -72,6 +72,11 @@
         """Stops counting an execution, which has ended or waits for its dependency call."""
         self.running -= 1
 
+    def suspend_execution(self, request: Request) -> None:
+        """Stops counting an execution that may not exist, until its next event."""
+        request.state = RequestState.UNCONFIRMED
+        self.running -= 1
+
     def has_free_cores(self) -> bool:
         """Whether the executor's latest gauges show capacity for more work."""
         return self.core_use < FREE_CORE_USE and self.run_queue < self.server.cores
--- a/lilacwalk/protocols/send_buffer.py
+++ b/lilacwalk/protocols/send_buffer.py
@@ -29,14 +29,22 @@
     a writer thread sends the rest. The thread is started when first needed: most connections never
     need it, and it would cost memory and a thread switch for each response.
 
-    No lock is needed: only the owner writes `accepted_bytes`, and only the writer thread writes
-    `sent_bytes`.
+    No lock is needed: only the writer thread writes `sent_bytes`, and only the owner writes the
+    other attributes.
+
+    Attributes:
+        appended_bytes: Total size of all appended messages. After an append, it is the position in
+            the byte stream at which the message ends.
+        offered_bytes: The position in the byte stream up to which bytes may have left this process.
+            The peer cannot have received a message that ends after it.
     """
 
     __slots__ = (
         "accepted_bytes",
+        "appended_bytes",
         "max_bytes",
         "name",
+        "offered_bytes",
         "pending",
         "queue",
         "sent_bytes",
@@ -57,6 +65,8 @@
         self.name = name
         self.accepted_bytes = 0
         self.sent_bytes = 0
+        self.appended_bytes = 0
+        self.offered_bytes = 0
         self.pending: list[bytes] = []
         self.queue: SimpleQueue[QueuedWrite | None] | None = None
         self.thread: threading.Thread | None = None
@@ -71,6 +81,7 @@
         if self.accepted_bytes - self.sent_bytes + accounted_bytes > self.max_bytes:
             return False
         self.accepted_bytes += accounted_bytes
+        self.appended_bytes += len(data)
         self.pending.append(data)
         return True
 
@@ -91,6 +102,7 @@
             except OSError:
                 shut_down_socket(self.sock)  # the reader thread detects the end and reports it
                 return
+        self.offered_bytes += len(data)
         if sent == len(data):
             self.accepted_bytes -= accounted_bytes
         elif self.thread is not None or self._start_writer():
--- a/lilacwalk/requests/records.py
+++ b/lilacwalk/requests/records.py
@@ -82,6 +82,29 @@
     do_not_retry_elsewhere: bool = False
 
 
+@dataclass(eq=False, slots=True)
+class PendingCommand:
+    """A command that the executor is not known to have read.
+
+    Attributes:
+        data: The encoded command.
+        is_repeatable: Whether it does no harm if the executor reads the command twice.
+        polls_before: The number of gauge polls sent before the command; None if the command itself
+            has not been sent.
+        end_position: The position in the byte stream of the link at which the command ends.
+    """
+
+    data: bytes
+    is_repeatable: bool
+    polls_before: int | None = None
+    end_position: int = 0
+
+    @property
+    def may_be_read(self) -> bool:
+        """Whether the executor may have read the command."""
+        return self.polls_before is not None
+
+
 @dataclass(eq=False, slots=True)
 class InFlightRequest:
     """The state of a request until it is answered and its execution has ended.
@@ -95,10 +118,11 @@
         class_name: The name of the request class on the wire.
         body: The body of the request.
         cache_key: The key of the request's entry in the result cache; None if it has no entry.
-        unacknowledged_commands: Commands that the executor may not have received.
-        gauge_poll_at_last_command: The number of gauge polls when the last command was sent.
+        pending_commands: Commands that the executor is not known to have read.
         commands_resent: Whether commands were sent again after the link was lost, so that the
             executor may have received them twice.
+        is_unconfirmed: Whether the execution may not exist, because its dispatch may have been lost
+            with the link and must not be repeated.
         call_body: The body of the dependency call that the execution requested last.
         call_event_number: The number of the executor event by which the execution requested it.
         call: The dependency call in progress.
@@ -113,9 +137,9 @@
     class_name: str
     body: bytes
     cache_key: CacheKey | None = None
-    unacknowledged_commands: list[bytes] = field(default_factory=list)
-    gauge_poll_at_last_command: int = 0
+    pending_commands: list[PendingCommand] = field(default_factory=list)
     commands_resent: bool = False
+    is_unconfirmed: bool = False
     call_body: bytes = b""
     call_event_number: int = 0
     call: object | None = None
--- a/lilacwalk/server/decision_applier.py
+++ b/lilacwalk/server/decision_applier.py
@@ -6,8 +6,7 @@
 from typing import TYPE_CHECKING
 
 from lilacwalk.overload.model import Request
-from lilacwalk.protocols.executor_codec import encode_cancel
-from lilacwalk.requests.records import FinalStatus, InFlightRequest
+from lilacwalk.requests.records import FinalStatus
 
 if TYPE_CHECKING:
     from lilacwalk.server.event_loop import EventLoop
@@ -42,7 +41,7 @@
         """Dispatches the request, at once or after its effect record has been written."""
         entry = self._in_flight[request]
         if self._requests.effect_gate.may_dispatch(entry):
-            self._event_loop.executor.dispatch(entry)
+            self._event_loop.executor.commands.dispatch(entry)
 
     def reject(
         self, request: Request, retry_after: int = 0, do_not_retry_elsewhere: bool = False
@@ -65,28 +64,20 @@
             retry_after=retry_after,
             do_not_retry_elsewhere=do_not_retry_elsewhere,
         )
-        self._release_if_never_dispatched(entry)
+        self._requests.release_if_not_executing(entry)
 
     def fail(self, request: Request) -> None:
         """Responds that the outcome is unknown or that the request did not finish in time."""
         entry = self._in_flight.get(request)
         if entry is not None:
             self._requests.respond(entry, FinalStatus.FAILED)
-            self._release_if_never_dispatched(entry)
-
-    def _release_if_never_dispatched(self, entry: InFlightRequest) -> None:
-        """Releases a request that was never dispatched.
-
-        A dispatched request is released when its execution ends.
-        """
-        if not entry.request.was_dispatched:
-            self._requests.release_request(entry, None)
+            self._requests.release_if_not_executing(entry)
 
     def cancel(self, request: Request) -> None:
         """Sends the executor the command to cancel the execution."""
         entry = self._in_flight.get(request)
         if entry is not None:
-            self._event_loop.executor.send_commands(entry, encode_cancel(entry.id))
+            self._event_loop.executor.commands.cancel(entry)
 
     def coalesce(self, request: Request) -> None:
         """Responds to a duplicate with the original's result, now or when the original ends.
--- a/lilacwalk/server/dependency_calls.py
+++ b/lilacwalk/server/dependency_calls.py
@@ -8,7 +8,6 @@
 from lilacwalk.overload.model import Effect, Outcome
 from lilacwalk.protocols.dependency_client import DependencyClient
 from lilacwalk.protocols.dependency_connection import DependencyCall, DependencyConnection
-from lilacwalk.protocols.executor_codec import encode_call_result, encode_skip_call
 from lilacwalk.requests.records import InFlightRequest
 
 if TYPE_CHECKING:
@@ -41,7 +40,7 @@
         entry = self._event_loop.requests.in_flight.by_id.get(request_id)
         if entry is None:
             return
-        entry.unacknowledged_commands.clear()  # the executor has read them, as the execution runs
+        self._event_loop.executor.commands.event_received(entry)
         entry.call_event_number = event_number
         entry.call_body = bytes(body)
         self._event_loop.controller_events.append(CallRequested(entry.request))
@@ -65,9 +64,7 @@
 
     def skip(self, entry: InFlightRequest) -> None:
         """Sends the executor the command to continue the execution without its call."""
-        self._event_loop.executor.send_commands(
-            entry, encode_skip_call(entry.id, entry.call_event_number)
-        )
+        self._event_loop.executor.commands.skip_call(entry)
 
     def abandon(self, entry: InFlightRequest) -> None:
         """Abandons the call, if any, of an execution that has ended.
@@ -104,7 +101,7 @@
         if entry is None or entry.call is not call:
             return
         if outcome is Outcome.OK and entry.connection is not None:
-            event_loop.executor.send_commands(entry, encode_call_result(call.request_id, body))
+            event_loop.executor.commands.send_call_result(entry, body)
         self.end_call(entry, outcome)
 
     def _timed_out(self, entry: InFlightRequest, call: DependencyCall) -> None:
--- a/lilacwalk/server/effect_gate.py
+++ b/lilacwalk/server/effect_gate.py
@@ -72,7 +72,7 @@
         requests = self._requests
         event_loop = self._event_loop
         if may_run and entry.connection is not None and not entry.request.answered:
-            event_loop.executor.dispatch(entry)
+            event_loop.executor.commands.dispatch(entry)
             return
         requests.respond(entry, FinalStatus.REJECTED, retry_after=event_loop.server.max_retry_after)
         event_loop.controller_events.append(ExecutionFinished(entry.request, Outcome.NOT_EXECUTED))
--- a/lilacwalk/server/event_loop.py
+++ b/lilacwalk/server/event_loop.py
@@ -182,7 +182,7 @@
         `delay` is in tenths of a millisecond.
         """
         due = self.now + delay
-        self.schedule(due - self.limits.gauge_lead, self.executor.request_gauges)
+        self.schedule(due - self.limits.gauge_lead, self.executor.commands.request_gauges)
         self.schedule(due, self._controller_timer_expired)
 
     def _controller_timer_expired(self) -> None:
--- a/lilacwalk/server/executor_session.py
+++ b/lilacwalk/server/executor_session.py
@@ -15,18 +15,17 @@
     ExecutorBooted,
     ExecutorEvent,
     GaugesReported,
-    encode_dispatch,
     encode_gauge_request,
 )
-from lilacwalk.protocols.send_buffer import SendBuffer, shut_down_socket
-from lilacwalk.requests.records import FinalStatus, InFlightRequest
+from lilacwalk.protocols.send_buffer import SendBuffer
+from lilacwalk.requests.records import FinalStatus
+from lilacwalk.server.command_delivery import GAUGE_POLL_PREFIX, CommandDelivery
 
 if TYPE_CHECKING:
     from lilacwalk.server.event_loop import EventLoop
 
 log = logging.getLogger(__name__)
 
-GAUGE_POLL_PREFIX = "g"  # the tag of a gauge poll is this prefix and the number of the poll
 FENCE_PREFIX = "fence"  # the tag of a replay fence is this prefix and the number of the fence
 DISPATCH_COMMAND = "SCHED"
 CALL_END_COMMANDS = ("IODONE", "NOIO")
@@ -40,70 +39,34 @@
 
 
 class ExecutorSession:
-    """Ensures that no command and no event is lost when the link to the executor breaks.
+    """Handles the events of the executor and the loss of the link to it.
 
     When a new link has been opened, the executor replays its events. It responds to commands in the
     order in which it reads them. A gauge request sent after the opening is therefore a fence: its
-    response shows that all replayed events have been received. Likewise, the response to a numbered
-    gauge poll acknowledges all commands that were sent before the poll.
+    response shows that all replayed events have been received, and commands may be sent again.
 
-    Owns the send buffer of the current link, the fence, the number of gauge polls and the gauges
-    reported last.
+    Owns the send buffer of the current link, the fence and the gauges reported last. The commands
+    belong to its `CommandDelivery`.
     """
 
     def __init__(self, event_loop: EventLoop, client: ExecutorClient) -> None:
         """Registers itself for the callbacks of `client`."""
         self._event_loop = event_loop
+        self.commands = CommandDelivery(event_loop)
         self.send_buffer: SendBuffer | None = None  # None: no link
-        self.is_ready = False  # whether there is a link whose replay has been received
         # Until the first report, all cores count as in use.
         self.gauges = Gauges(1.0, float(event_loop.server.cores))
-        self.gauge_polls = 0  # number of gauge polls sent over all links
         self._fence_tag = ""  # empty: no fence is outstanding
         self._fence_count = 0
         client.on_connected = self._connected
         client.on_events = self._handle_events
         client.on_disconnected = self._disconnected
 
-    # Commands
-
-    def send_commands(self, entry: InFlightRequest, *commands: bytes) -> None:
-        """Sends commands and stores them until the executor has acknowledged them.
-
-        Without a link, the commands are sent when the next link is ready. If `commands` is empty,
-        resends the unacknowledged ones.
-
-        A resent command causes a fault if, between the replay of its events and the arrival of the
-        command, an execution ends or requests its next dependency call: the request would run
-        twice, or the next call would get the result of the previous one. This is rare, because only
-        commands sent since the last answered gauge poll are resent.
-        """
-        entry.unacknowledged_commands.extend(commands)
-        entry.gauge_poll_at_last_command = self.gauge_polls
-        for command in commands or entry.unacknowledged_commands:
-            if self.is_ready and not self._event_loop.send(self.send_buffer, command):
-                # The executor does not read. Unacknowledged commands are resent over a new link.
-                shut_down_socket(self.send_buffer.sock)
-
-    def dispatch(self, entry: InFlightRequest) -> None:
-        """Sends the executor the command to execute a request."""
-        self.send_commands(entry, encode_dispatch(entry.id, entry.class_name, entry.body))
-
-    def request_gauges(self) -> None:
-        """Sends a gauge poll; the response also acknowledges all commands sent earlier.
-
-        Has no effect while no link is ready.
-        """
-        if self.is_ready:
-            self.gauge_polls += 1
-            tag = f"{GAUGE_POLL_PREFIX}{self.gauge_polls}"
-            self._event_loop.send(self.send_buffer, encode_gauge_request(tag))
-
     # The link
 
     def _connected(self, send_buffer: SendBuffer, opening: bytes) -> None:
         self.send_buffer = send_buffer
-        self.is_ready = False
+        self.commands.link_lost()
         self._fence_tag = ""
         self._event_loop.send(send_buffer, opening)
 
@@ -114,7 +77,7 @@
         event_loop = self._event_loop
         log.warning("event=executor_link_lost in_flight=%d", len(event_loop.requests.in_flight))
         self.send_buffer = None
-        self.is_ready = False
+        self.commands.link_lost()
         if event_loop.controller is not None:
             event_loop.controller_events.append(ExecutorLinkChanged(False))
 
@@ -155,29 +118,15 @@
         )
         tag = event.tag
         if tag[0] == GAUGE_POLL_PREFIX and tag[1:].isdecimal():
-            self._acknowledge_commands(int(tag[1:]))
-        elif tag == self._fence_tag and not self.is_ready:
+            self.commands.poll_answered(int(tag[1:]))
+        elif tag == self._fence_tag and not self.commands.is_ready:
             self._replay_ended()
 
-    def _acknowledge_commands(self, poll: int) -> None:
-        """Drops the commands that were sent before a gauge poll, as the executor has read them."""
-        for entry in self._event_loop.requests.in_flight.by_id.values():
-            if entry.gauge_poll_at_last_command < poll:
-                entry.unacknowledged_commands.clear()
-
     def _replay_ended(self) -> None:
         """Marks the link as ready and resends the commands that have not been acknowledged."""
-        event_loop = self._event_loop
-        self.is_ready = True
         self._fence_tag = ""
-        event_loop.controller_events.append(ExecutorLinkChanged(True))
-        entries = event_loop.requests.in_flight.by_id.values()
-        unacknowledged = [entry for entry in entries if entry.unacknowledged_commands]
-        if unacknowledged:
-            log.info("event=commands_resent requests=%d", len(unacknowledged))
-        for entry in unacknowledged:
-            entry.commands_resent = True
-            self.send_commands(entry)
+        self._event_loop.controller_events.append(ExecutorLinkChanged(True))
+        self.commands.link_ready(self.send_buffer)
 
     def _execution_ended(self, event: ExecutionEnded) -> None:
         event_loop = self._event_loop
--- a/lilacwalk/server/request_lifecycle.py
+++ b/lilacwalk/server/request_lifecycle.py
@@ -4,7 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from lilacwalk.overload.events import ClientGone, ExecutionFinished, RequestReceived
+from lilacwalk.overload.events import (
+    ClientGone,
+    ExecutionFinished,
+    ExecutionUnconfirmed,
+    RequestReceived,
+)
 from lilacwalk.overload.model import Effect, Outcome, Request, RequestState
 from lilacwalk.requests.in_flight import InFlightTable
 from lilacwalk.requests.records import (
@@ -91,8 +96,7 @@
         """Handles a request whose client has disconnected or withdrawn it."""
         self.in_flight.detach_client(entry)
         self._event_loop.controller_events.append(ClientGone(entry.request))
-        if not entry.request.was_dispatched:  # otherwise released when its execution ends
-            self.release_request(entry, None)
+        self.release_if_not_executing(entry)
 
     # Submit
 
@@ -218,24 +222,55 @@
         if entry.cache_key is not None:
             self.result_cache.remove(entry.cache_key, entry.request)
 
+    def execution_unconfirmed(self, entry: InFlightRequest) -> None:
+        """Handles the loss of the link over which a request was dispatched that must not run twice.
+
+        If the execution exists, it ends the request as usual.
+        """
+        entry.is_unconfirmed = True
+        self._event_loop.controller_events.append(ExecutionUnconfirmed(entry.request))
+        self.release_if_not_executing(entry)
+
+    def release_if_not_executing(self, entry: InFlightRequest) -> None:
+        """Releases a request that has been answered or abandoned, unless it is executing.
+
+        An executing request is released when its execution ends. If the execution may not exist,
+        the request is released once no duplicate waits for its result.
+        """
+        if not entry.request.was_dispatched:
+            self.release_request(entry, None)
+        elif (
+            entry.is_unconfirmed
+            and entry.connection is None
+            and not self._waiting_duplicates(entry.request)
+        ):
+            self._event_loop.controller_events.append(
+                ExecutionFinished(entry.request, Outcome.CONNECTION_LOST)
+            )
+            self.release_request(entry, None)
+
+    def _waiting_duplicates(self, original: Request) -> list[InFlightRequest]:
+        """The duplicates that are to be answered with the result of `original`."""
+        return [
+            other for other in self.in_flight.by_id.values() if other.awaits_result_of is original
+        ]
+
     def release_request(self, entry: InFlightRequest, result: bytes | None) -> None:
         """Removes a request that has been executed or will not be, and answers its duplicates.
 
         `result` is the result that duplicates get; None if it is unknown.
         """
         self.in_flight.remove(entry)
+        original = self.in_flight.by_request.get(entry.awaits_result_of)
+        if original is not None and original.is_unconfirmed:
+            self.release_if_not_executing(original)
         if entry.cache_key is None:
             return
         request = entry.request
         self.effect_gate.record_end(entry, result)
         if request.was_dispatched or result is not None:
             self._cache_result(entry, result)
-            duplicates = [
-                other
-                for other in self.in_flight.by_id.values()
-                if other.awaits_result_of is request
-            ]
-            for duplicate in duplicates:
+            for duplicate in self._waiting_duplicates(request):
                 self.respond_to_duplicate(duplicate, result)
         elif not any(
             other.request.duplicate_of is request for other in self.in_flight.by_id.values()
