The result of a dependency call is not sent again where it may reach the next call

Seen by the review: the executor got the reply to one call as that to the execution's next one. Related to the second dispatch: IODONE names no call, and was sent again after a lost link without knowing whether the executor had read it.

Change: a reply that may have been read is not sent again. NOIO, which names the event of its call, takes its place where the class may skip calls; else the request is unconfirmed until the execution's next event or its deadline.

--- a/lilacwalk/overload/controller.py
+++ b/lilacwalk/overload/controller.py
@@ -254,7 +254,7 @@
         parts.termination.release(request)
 
     def _execution_unconfirmed(self, request: Request) -> None:
-        """Stops counting an execution that may not exist.
+        """Stops counting an execution that may not exist or not continue.
 
         If no other execution is left, a stall can no longer be observed, so none is assumed.
         """
--- a/lilacwalk/overload/events.py
+++ b/lilacwalk/overload/events.py
@@ -42,10 +42,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ExecutionUnconfirmed:
-    """The executor may not have received the dispatch of a request, which must not be repeated.
+    """The executor may not have received a command that must not be repeated.
 
-    If the request is executing, its further events follow as usual. If it is not, the host ends it
-    by `ExecutionFinished` once nobody waits for its result.
+    The command is the dispatch of the request or the result of its dependency call. If the request
+    is executing, its further events follow as usual. Otherwise, the host ends the request by
+    `ExecutionFinished` once nobody waits for its result.
     """
 
     request: Request
--- a/lilacwalk/overload/model.py
+++ b/lilacwalk/overload/model.py
@@ -61,7 +61,7 @@
     RUNNING = auto()
     CALL_PENDING = auto()  # waits until the dependency call is made or skipped
     CALL_IN_PROGRESS = auto()
-    UNCONFIRMED = auto()  # dispatched, but the executor may not have received the dispatch
+    UNCONFIRMED = auto()  # dispatched, but the execution may not exist or not continue
     COALESCED = auto()  # waits for the result of the request of which it is a duplicate
     FINISHED = auto()
 
--- a/lilacwalk/overload/server_load.py
+++ b/lilacwalk/overload/server_load.py
@@ -73,7 +73,7 @@
         self.running -= 1
 
     def suspend_execution(self, request: Request) -> None:
-        """Stops counting an execution that may not exist, until its next event."""
+        """Stops counting an execution that may not exist or not continue, until its next event."""
         request.state = RequestState.UNCONFIRMED
         self.running -= 1
 
--- a/lilacwalk/overload/termination.py
+++ b/lilacwalk/overload/termination.py
@@ -102,7 +102,7 @@
         if request.answered or (request.was_dispatched and not is_idempotent):
             return
         now = self.context.now
-        if request.was_dispatched:
+        if request.was_dispatched and request.state is not RequestState.UNCONFIRMED:
             elapsed = now - request.dispatched_at - request.dependency_wait
             self.latency.record_execution(request, elapsed)
         self.latency.record_response(request, now)
--- a/lilacwalk/requests/records.py
+++ b/lilacwalk/requests/records.py
@@ -88,14 +88,15 @@
 
     Attributes:
         data: The encoded command.
-        is_repeatable: Whether it does no harm if the executor reads the command twice.
+        replacement: What is sent over the next link if the executor may have read the command: the
+            command itself if it may be read twice, another one, or None if nothing may be sent.
         polls_before: The number of gauge polls sent before the command; None if the command itself
             has not been sent.
         end_position: The position in the byte stream of the link at which the command ends.
     """
 
     data: bytes
-    is_repeatable: bool
+    replacement: bytes | None
     polls_before: int | None = None
     end_position: int = 0
 
@@ -104,6 +105,11 @@
         """Whether the executor may have read the command."""
         return self.polls_before is not None
 
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether it does no harm if the executor reads the command twice."""
+        return self.replacement == self.data
+
 
 @dataclass(eq=False, slots=True)
 class InFlightRequest:
@@ -121,8 +127,8 @@
         pending_commands: Commands that the executor is not known to have read.
         commands_resent: Whether commands were sent again after the link was lost, so that the
             executor may have received them twice.
-        is_unconfirmed: Whether the execution may not exist, because its dispatch may have been lost
-            with the link and must not be repeated.
+        is_unconfirmed: Whether the execution may not exist or not continue, because a command may
+            have been lost with the link and must not be repeated.
         call_body: The body of the dependency call that the execution requested last.
         call_event_number: The number of the executor event by which the execution requested it.
         call: The dependency call in progress.
--- a/lilacwalk/server/command_delivery.py
+++ b/lilacwalk/server/command_delivery.py
@@ -15,6 +15,7 @@
 )
 from lilacwalk.protocols.send_buffer import SendBuffer, shut_down_socket
 from lilacwalk.requests.records import InFlightRequest, PendingCommand
+from lilacwalk.server.link_monitor import LinkMonitor
 
 if TYPE_CHECKING:
     from lilacwalk.server.event_loop import EventLoop
@@ -31,9 +32,12 @@
     numbered gauge poll acknowledges all commands that were sent before the poll.
 
     If the link is lost before that, the executor may or may not have read a command. The command is
-    then sent again over the next link only if reading it twice does no harm. Otherwise nothing is
-    sent, and the request is unconfirmed: its execution either exists and reports its end, or the
-    request is failed at its deadline.
+    then sent again over the next link only if reading it twice does no harm, or replaced by another
+    one. Otherwise nothing is sent, and the request is unconfirmed: its execution either continues
+    and reports its next event, or the request is failed at its deadline.
+
+    An executor that stops reading shortly before the link is lost leaves polls unanswered. Commands
+    that must not be repeated are held until it responds again, so that few of them get lost.
 
     Owns the send buffer of the ready link and the number of gauge polls. The commands of a request
     are stored in its `InFlightRequest`.
@@ -44,6 +48,8 @@
         self._event_loop = event_loop
         self._send_buffer: SendBuffer | None = None  # None: no link is ready
         self.gauge_polls = 0  # number of gauge polls sent over all links
+        self._monitor = LinkMonitor()
+        self._has_held_commands = False
 
     @property
     def is_ready(self) -> bool:
@@ -58,22 +64,31 @@
         The executor ignores a second dispatch of a running request, but would execute a request
         again whose execution has ended in the meantime.
         """
-        is_repeatable = entry.request.request_class.effect is Effect.IDEMPOTENT
         data = encode_dispatch(entry.id, entry.class_name, entry.body)
-        self._add(entry, data, is_repeatable=is_repeatable)
+        is_idempotent = entry.request.request_class.effect is Effect.IDEMPOTENT
+        self._add(entry, PendingCommand(data, replacement=data if is_idempotent else None))
 
     def cancel(self, entry: InFlightRequest) -> None:
         """Has the executor interrupt the execution of a request."""
-        self._add(entry, encode_cancel(entry.id), is_repeatable=True)
+        data = encode_cancel(entry.id)
+        self._add(entry, PendingCommand(data, replacement=data))
 
     def send_call_result(self, entry: InFlightRequest, body: bytes) -> None:
-        """Sends the result of the dependency call that the execution waits for."""
-        self._add(entry, encode_call_result(entry.id, body), is_repeatable=True)
+        """Sends the result of the dependency call that the execution waits for.
+
+        The message does not name the call, so a second one could be taken for the result of the
+        execution's next call. The command to skip the call names it, and replaces the result if the
+        class permits that calls are skipped.
+        """
+        can_skip = entry.request.request_class.skipped_call_weight_share > 0
+        replacement = encode_skip_call(entry.id, entry.call_event_number) if can_skip else None
+        data = encode_call_result(entry.id, body)
+        self._add(entry, PendingCommand(data, replacement=replacement))
 
     def skip_call(self, entry: InFlightRequest) -> None:
         """Has the execution continue without the call that it requested last."""
         data = encode_skip_call(entry.id, entry.call_event_number)
-        self._add(entry, data, is_repeatable=True)
+        self._add(entry, PendingCommand(data, replacement=data))
 
     def request_gauges(self) -> None:
         """Sends a gauge poll; the response also acknowledges all commands sent earlier.
@@ -84,11 +99,18 @@
             self.gauge_polls += 1
             tag = f"{GAUGE_POLL_PREFIX}{self.gauge_polls}"
             self._event_loop.send(self._send_buffer, encode_gauge_request(tag))
+            self._monitor.poll_sent(self.gauge_polls, self._event_loop.now)
 
-    def _add(self, entry: InFlightRequest, data: bytes, *, is_repeatable: bool) -> None:
-        command = PendingCommand(data, is_repeatable)
+    def _add(self, entry: InFlightRequest, command: PendingCommand) -> None:
+        """Sends a command unless it, or an earlier command of its request, has to be held."""
+        must_hold = (
+            not command.is_repeatable and not self._monitor.is_responsive(self._event_loop.now)
+        ) or any(not earlier.may_be_read for earlier in entry.pending_commands)
         entry.pending_commands.append(command)
-        self._send(command)
+        if must_hold:
+            self._has_held_commands = True
+        else:
+            self._send(command)
 
     def _send(self, command: PendingCommand) -> None:
         if self._send_buffer is None:
@@ -103,7 +125,12 @@
     # Acknowledgement and loss
 
     def poll_answered(self, poll: int) -> None:
-        """Drops the commands that were sent before a gauge poll, as the executor has read them."""
+        """Drops the commands that were sent before a gauge poll, as the executor has read them.
+
+        Sends the commands that were held until the executor responds.
+        """
+        now = self._event_loop.now
+        self._monitor.poll_answered(poll, now)
         for entry in self._event_loop.requests.in_flight.by_id.values():
             if entry.pending_commands:
                 entry.pending_commands = [
@@ -112,6 +139,16 @@
                     if command.polls_before is None or command.polls_before >= poll
                 ]
 
+        if self._has_held_commands and self._monitor.is_responsive(now):
+            self._send_held_commands()
+
+    def _send_held_commands(self) -> None:
+        self._has_held_commands = False
+        for entry in self._event_loop.requests.in_flight.by_id.values():
+            for command in entry.pending_commands:
+                if not command.may_be_read:
+                    self._send(command)
+
     def event_received(self, entry: InFlightRequest) -> None:
         """Drops all commands of a request whose execution has continued, and so has read them."""
         entry.pending_commands.clear()
@@ -122,6 +159,7 @@
 
         The executor cannot have read the commands that did not leave this process as a whole.
         """
+        self._monitor.link_lost()
         send_buffer, self._send_buffer = self._send_buffer, None
         if send_buffer is None:
             return
@@ -136,6 +174,7 @@
         Commands that the executor may have read and must not read twice are dropped instead.
         """
         self._send_buffer = send_buffer
+        self._has_held_commands = False
         entries = self._event_loop.requests.in_flight.by_id.values()
         pending = [entry for entry in entries if entry.pending_commands]
         unconfirmed = [entry for entry in pending if not self._resend(entry)]
@@ -151,10 +190,14 @@
         """Sends the stored commands of a request; returns False if one had to be dropped."""
         commands = entry.pending_commands
         entry.pending_commands = [
-            command for command in commands if command.is_repeatable or not command.may_be_read
+            command
+            for command in commands
+            if not command.may_be_read or command.replacement is not None
         ]
         for command in entry.pending_commands:
-            entry.commands_resent = entry.commands_resent or command.may_be_read
-            command.polls_before = None
+            if command.may_be_read:
+                entry.commands_resent = True
+                command.data = command.replacement
+                command.polls_before = None
             self._send(command)
         return len(entry.pending_commands) == len(commands)
--- a/lilacwalk/server/request_lifecycle.py
+++ b/lilacwalk/server/request_lifecycle.py
@@ -223,9 +223,9 @@
             self.result_cache.remove(entry.cache_key, entry.request)
 
     def execution_unconfirmed(self, entry: InFlightRequest) -> None:
-        """Handles the loss of the link over which a request was dispatched that must not run twice.
+        """Handles a request for which a command may be lost that must not be repeated.
 
-        If the execution exists, it ends the request as usual.
+        If its execution exists and continues, it ends the request as usual.
         """
         entry.is_unconfirmed = True
         self._event_loop.controller_events.append(ExecutionUnconfirmed(entry.request))
@@ -234,8 +234,8 @@
     def release_if_not_executing(self, entry: InFlightRequest) -> None:
         """Releases a request that has been answered or abandoned, unless it is executing.
 
-        An executing request is released when its execution ends. If the execution may not exist,
-        the request is released once no duplicate waits for its result.
+        An executing request is released when its execution ends. If the execution may not exist or
+        not continue, the request is released once no duplicate waits for its result.
         """
         if not entry.request.was_dispatched:
             self.release_request(entry, None)
--- a/tests/server/test_command_delivery.py
+++ b/tests/server/test_command_delivery.py
@@ -10,11 +10,13 @@
     execute_request,
     finish_execution,
     next_dispatched_id,
+    request_dependency_call,
     wait_until_processed,
 )
 
 NON_IDEMPOTENT = "read"  # the class to which `harness_with_effects` gives this effect
 DEDUPLICATED = "once"
+CALLING = "look"  # idempotent, with dependency calls that may not be skipped
 
 
 @pytest.fixture
@@ -155,3 +157,89 @@
     assert proxy.receive_response()[:2] == (2, "error")
     assert execute_request(harness, proxy, 3, 1, class_name="look")[2][:2] == (3, "done")
     assert harness.event_loop.drain.in_flight_summary().startswith("in_flight=0 open=0 running=0")
+
+
+def send_call_result(harness, proxy, tag, **submit_options):
+    """Executes a request until the executor has received the result of its first call.
+
+    Returns the id of the request.
+    """
+    proxy.submit(tag, CALLING, **submit_options)
+    request_id = next_dispatched_id(harness)
+    dependency = request_dependency_call(harness, 1, request_id, b"one")
+    dependency.send(f"{request_id} HIT 1", b"1")
+    assert harness.executor.receive("IODONE")[1] == b"1"
+    return request_id
+
+
+def test_the_result_of_a_call_is_not_sent_again_for_the_next_call(harness_with_effects):
+    """Guards against a second call that gets the result of the first one after a lost link."""
+    harness = harness_with_effects
+    proxy = harness.connect_proxy()
+    request_id = send_call_result(harness, proxy, 1)
+    lose_link(harness)
+    # The execution requests its next call while a repeated result would be on its way.
+    dependency = request_dependency_call(harness, 2, request_id, b"two")
+    dependency.send(f"{request_id} HIT 1", b"2")
+    assert harness.executor.receive("IODONE")[1] == b"2"
+    finish_execution(harness, 3, request_id, b"r")
+    assert proxy.receive_response()[1::2] == ("done", b"r")
+    assert harness.event_loop.drain.in_flight_summary() == NOTHING_IN_FLIGHT
+
+
+def hold_call_result(harness, proxy):
+    """Has the executor stop responding to gauge polls until the server holds a call's result.
+
+    Returns the id of the request, and the tags of the unanswered polls.
+    """
+    executor = harness.executor
+    for _ in range(5):  # shows the server how soon the executor usually responds
+        tag = executor.receive("SYSINFO")[0][1]
+        executor.send(f"INFO {tag} 0.1 0")
+    proxy.submit(1, CALLING)
+    request_id = next_dispatched_id(harness)
+    dependency = request_dependency_call(harness, 1, request_id)
+    tags = [executor.receive("SYSINFO")[0][1] for _ in range(2)]
+    dependency.send(f"{request_id} HIT 1", b"!")
+    for _ in range(4):
+        words, _ = executor.receive_message()
+        assert words[0] == "SYSINFO"
+        tags.append(words[1])
+    return request_id, tags
+
+
+def test_the_result_of_a_call_is_held_until_the_executor_responds_again(harness):
+    """Guards against losing results, which must not be repeated, with a link that is not read."""
+    proxy = harness.connect_proxy()
+    request_id, tags = hold_call_result(harness, proxy)
+    for tag in tags:
+        harness.executor.send(f"INFO {tag} 0.1 0")
+    assert harness.executor.receive("IODONE")[1] == b"!"
+    finish_execution(harness, 2, request_id)
+    assert proxy.receive_response()[:2] == (1, "done")
+    assert harness.event_loop.drain.in_flight_summary() == NOTHING_IN_FLIGHT
+
+
+def test_a_held_result_is_sent_once_over_the_next_link(harness):
+    proxy = harness.connect_proxy()
+    request_id, _ = hold_call_result(harness, proxy)
+    lose_link(harness)
+    assert harness.executor.receive("IODONE")[1] == b"!"
+    commands = commands_until_second_poll(harness.executor)
+    assert "IODONE" not in [words[0] for words in commands]
+    finish_execution(harness, 2, request_id)
+    assert proxy.receive_response()[:2] == (1, "done")
+
+
+def test_a_request_whose_call_result_was_lost_fails_at_its_deadline_and_leaves_nothing_in_flight(
+    harness_with_effects,
+):
+    """Guards against a leak if an execution waits for a result that is never sent again."""
+    harness = harness_with_effects
+    proxy = harness.connect_proxy()
+    send_call_result(harness, proxy, 1, d=500)
+    lose_link(harness)
+    assert proxy.receive_response()[:2] == (1, "error")
+    assert "IODONE" not in [words[0] for words in commands_until_second_poll(harness.executor)]
+    assert execute_request(harness, proxy, 2, 2)[2][:2] == (2, "done")
+    assert harness.event_loop.drain.in_flight_summary() == NOTHING_IN_FLIGHT
