Of several attempts with one key that are read together, one is executed

Cause: Deduplication.attach let each attempt that named an ended, unexecuted original take its place. The first to do so registered the key, but the original was not linked to it, and the links of attempts read together are set before any of them is decided on. Any rejection of the first leads there.

Change: the attempt that takes the place becomes the original of all that name the old one, as replace_unexecuted has it for queued attempts; the chain of links stays one step long.

--- a/lilacwalk/overload/deduplication.py
+++ b/lilacwalk/overload/deduplication.py
@@ -51,9 +51,11 @@
 
         Returns:
             False if the original ended without being executed. The duplicate then no longer counts
-            as one, and may be admitted in place of the original.
+            as one, and may be admitted in place of the original; further duplicates of the original
+            are duplicates of this one.
         """
-        original = duplicate.duplicate_of
+        named_original = duplicate.duplicate_of
+        original = named_original
         while original.duplicate_of and not original.was_dispatched:
             original = original.duplicate_of
         duplicate.duplicate_of = original
@@ -62,6 +64,8 @@
             return True
         if original.state is RequestState.FINISHED:
             duplicate.duplicate_of = None
+            original.duplicate_of = duplicate
+            named_original.duplicate_of = duplicate  # keeps the chain of links short
             return False
         original.duplicates.append(duplicate)
         self._load.queue.append(duplicate)
--- a/tests/overload/test_deduplication.py
+++ b/tests/overload/test_deduplication.py
@@ -3,7 +3,10 @@
 Times are in tenths of a millisecond.
 """
 
-from lilacwalk.overload.events import ClientGone
+import pytest
+
+from lilacwalk.overload.events import ClientGone, ExecutionFinished, RequestReceived
+from lilacwalk.overload.model import Outcome, Request
 
 
 def test_duplicates_of_a_running_and_of_a_finished_request_are_coalesced_and_not_executed(
@@ -43,6 +46,48 @@
     assert host.decisions("register_key")[-1] is duplicate
 
 
+def receive_together(host, *requests):
+    """Passes requests to the controller in one batch; each one after the first is a duplicate."""
+    first, *duplicates = requests
+    for duplicate in duplicates:
+        duplicate.duplicate_of = first
+    host.process(*(RequestReceived(request) for request in requests))
+
+
+def make_request(host, ttl=30_000):
+    request_class = host.server.request_classes[0]
+    return Request(request_class, host.now, host.now, host.now + ttl, 10.0)
+
+
+@pytest.mark.parametrize("rejected", [1, 2])
+def test_one_of_several_duplicates_is_executed_if_the_originals_before_it_were_too_late(
+    make_host, deduplicated_class, rejected
+):
+    """Guards against two executions if attempts with one key are read together after a stall."""
+    host = make_host(request_classes=[deduplicated_class])
+    requests = [make_request(host, ttl=0 if number < rejected else 30_000) for number in range(4)]
+    receive_together(host, *requests)
+    assert host.decisions("reject") == requests[:rejected]
+    assert host.decisions("dispatch") == [requests[rejected]]
+    assert host.decisions("coalesce") == requests[rejected + 1 :]
+    later = host.receive(duplicate_of=requests[0])
+    assert host.decisions("coalesce")[-1] is later
+
+
+def test_a_duplicate_takes_the_place_of_the_one_that_replaced_the_original_and_was_not_executed(
+    make_host, deduplicated_class
+):
+    """Guards against two executions if the second attempt is queued and then withdrawn."""
+    host = make_host(request_classes=[deduplicated_class], cores=1)
+    blocker = host.receive()
+    requests = [make_request(host, ttl=0 if number == 0 else 30_000) for number in range(4)]
+    receive_together(host, *requests)
+    host.process(ClientGone(requests[1]))
+    host.process(ExecutionFinished(blocker, Outcome.OK))
+    assert host.decisions("dispatch") == [blocker, requests[2]]
+    assert host.decisions("coalesce") == [requests[3]]
+
+
 def test_a_running_request_and_its_duplicate_fail_at_the_deadline_and_are_not_rejected(
     make_host, deduplicated_class
 ):
--- a/tests/server/test_deduplication.py
+++ b/tests/server/test_deduplication.py
@@ -102,6 +102,34 @@
     assert proxy.receive_response()[0:4:3] == (7, b"other")
 
 
+@pytest.mark.parametrize("readings", [1, 3])
+def test_of_several_attempts_with_one_key_one_is_executed_if_the_first_was_too_late(
+    harness, readings
+):
+    """Guards against two executions if attempts that waited during a stall are read together."""
+    proxy = harness.connect_proxy()
+    late = int(time.time() * 1000) - 2000
+    attempts = [
+        proxy.encode_submit(1, "once", k="k1", s=late, d=1000),
+        proxy.encode_submit(2, "once", k="k1"),
+        proxy.encode_submit(3, "once", k="k1"),
+    ]
+    if readings == 1:
+        attempts = [b"".join(attempts)]
+    for attempt in attempts:
+        proxy.sock.sendall(attempt)
+    finish_execution(harness, 1, next_dispatched_id(harness))
+    assert sorted(proxy.receive_response()[:2] for _ in range(3)) == [
+        (1, "later"),
+        (2, "done"),
+        (3, "done"),
+    ]
+    proxy.submit(4)
+    # The next dispatch is that of request 4: no other attempt was dispatched.
+    finish_execution(harness, 2, next_dispatched_id(harness), b"other")
+    assert proxy.receive_response()[0:4:3] == (4, b"other")
+
+
 def test_a_duplicate_that_arrives_within_the_window_and_is_read_after_it_is_not_executed(
     harness, advance_clock
 ):
