A full send buffer is offered to its socket before its peer is said not to read

Cause: responses are offered to the sockets at the end of an iteration, but the limit of a buffer counted what the same iteration had appended. The limit is 16,485 bytes there, so the fifth result of 4 KiB did not fit, and a full buffer is taken for a peer that does not read.

Change: a message that does not fit has those before it flushed first, which never blocks. The executor's link and BGP sessions use the same buffer; devices' answers wait in their session and were not affected.

--- a/lilacwalk/protocols/send_buffer.py
+++ b/lilacwalk/protocols/send_buffer.py
@@ -74,17 +74,24 @@
     def append(self, data: bytes) -> bool:
         """Adds a message, which the next flush sends.
 
+        If the buffer is full, the messages before it are offered to the socket first.
+
         Returns:
             False if the message does not fit because the peer has stopped reading.
         """
         accounted_bytes = len(data) + MESSAGE_OVERHEAD_BYTES
-        if self.accepted_bytes - self.sent_bytes + accounted_bytes > self.max_bytes:
-            return False
+        if not self._has_room(accounted_bytes):
+            self.flush()
+            if not self._has_room(accounted_bytes):
+                return False
         self.accepted_bytes += accounted_bytes
         self.appended_bytes += len(data)
         self.pending.append(data)
         return True
 
+    def _has_room(self, accounted_bytes: int) -> bool:
+        return self.accepted_bytes - self.sent_bytes + accounted_bytes <= self.max_bytes
+
     def flush(self) -> None:
         """Sends the appended messages, or leaves the rest to the writer thread. Never blocks."""
         messages, self.pending = self.pending, []
