In a drain, an attempt that arrived after the grace never takes its original's place

Cause: Deduplication.attach takes a duplicate of a queued original past the admission gate, where the grace is checked, and replace_unexecuted lets any queued duplicate replace an original that ends without an execution.

Change: when an original ends unexecuted in a drain, its queued duplicates that arrived after the grace are rejected first. Such a duplicate still gets the result of an original that is executed.

--- a/lilacwalk/overload/admission_gate.py
+++ b/lilacwalk/overload/admission_gate.py
@@ -62,7 +62,7 @@
         """Whether the server accepts no requests now, or no time is left for this one."""
         if request.deadline - self.context.now <= self.deadline_margin:
             return True
-        if self.drain.is_active and request.arrived_at > self.drain.grace_ends_at:
+        if self.drain.forbids_execution(request.arrived_at):
             return True
         if self.stall_detector.stalled:
             return True
--- a/lilacwalk/overload/drain.py
+++ b/lilacwalk/overload/drain.py
@@ -20,3 +20,7 @@
         """Starts the drain with these times, in tenths of a millisecond."""
         self.grace_ends_at = grace_ends_at
         self.terminate_at = terminate_at
+
+    def forbids_execution(self, arrived_at: int) -> bool:
+        """Whether a request that arrived at this time came after the grace of a drain."""
+        return self.is_active and arrived_at > self.grace_ends_at
--- a/lilacwalk/overload/termination.py
+++ b/lilacwalk/overload/termination.py
@@ -140,4 +140,13 @@
         self.load.remove(request)
         if not request.was_dispatched:
             self.quota.refund(request)
+            self._reject_duplicates_after_grace(request)
             self.deduplication.replace_unexecuted(request)
+
+    def _reject_duplicates_after_grace(self, request: Request) -> None:
+        """Rejects the queued duplicates that may not take the place of a request in a drain."""
+        for duplicate in list(request.duplicates):
+            if duplicate.state is RequestState.QUEUED and self.drain.forbids_execution(
+                duplicate.arrived_at
+            ):
+                self.reject_or_fail(duplicate)
--- a/tests/overload/test_deduplication.py
+++ b/tests/overload/test_deduplication.py
@@ -5,7 +5,12 @@
 
 import pytest
 
-from lilacwalk.overload.events import ClientGone, ExecutionFinished, RequestReceived
+from lilacwalk.overload.events import (
+    ClientGone,
+    DrainStarted,
+    ExecutionFinished,
+    RequestReceived,
+)
 from lilacwalk.overload.model import Outcome, Request
 
 
@@ -88,6 +93,36 @@
     assert host.decisions("coalesce") == [requests[3]]
 
 
+def test_a_duplicate_that_arrived_after_the_grace_of_a_drain_is_not_executed_for_its_original(
+    make_host, deduplicated_class
+):
+    """Guards against an execution after the grace if the original is withdrawn while queued."""
+    host = make_host(request_classes=[deduplicated_class], cores=1, drain_grace_period=1_000)
+    blocker, first = host.receive(), host.receive()
+    in_time = host.receive(duplicate_of=first)
+    host.process(DrainStarted(host.now + 25_000))
+    host.now += 1_001
+    late = [host.receive(duplicate_of=first) for _ in range(2)]
+    host.process(ClientGone(first))
+    assert host.decisions("reject") == late
+    host.process(ClientGone(in_time))
+    host.finish(blocker)
+    assert host.decisions("dispatch") == [blocker]
+
+
+def test_a_duplicate_that_arrived_after_the_grace_of_a_drain_gets_the_result_of_its_original(
+    make_host, deduplicated_class
+):
+    host = make_host(request_classes=[deduplicated_class], cores=1, drain_grace_period=1_000)
+    blocker, first = host.receive(), host.receive()
+    host.process(DrainStarted(host.now + 25_000))
+    host.now += 1_001
+    late = host.receive(duplicate_of=first)
+    host.finish(blocker)
+    assert host.decisions("dispatch") == [blocker, first]
+    assert host.decisions("coalesce") == [late]
+
+
 def test_a_running_request_and_its_duplicate_fail_at_the_deadline_and_are_not_rejected(
     make_host, deduplicated_class
 ):
