A remark of the executor may be of any length: what exceeds a line is dropped

Seen by the review: a DMESG of 6,000 bytes ended the link with a framing error, and as it is replayed on every new link, nothing was executed any more.

Cause: the line parser raises FramingError for any line over 512 bytes that is not complete in one chunk.

Change: the executor's parser keeps the beginning of a DMESG line, which holds the event's number, and drops the rest as it comes. Other lines are bounded as before, also one that only resembles DMESG.

Measured: new cases in tests/protocols/test_lines.py (unparsed bytes stay within 66 at a limit of 64) and one over TCP with a remark of 100,000 bytes, after which the link stays and OPEN names its event.

--- a/lilacwalk/protocols/executor_client.py
+++ b/lilacwalk/protocols/executor_client.py
@@ -11,6 +11,7 @@
 from lilacwalk.limits import SECOND, Limits
 from lilacwalk.protocols.errors import FramingError
 from lilacwalk.protocols.executor_codec import (
+    LOG_MESSAGE_PREFIX,
     ExecutorEvent,
     decode_event,
     encode_open,
@@ -136,7 +137,12 @@
         Returns:
             Whether any data was received.
         """
-        parser = LineParser(has_body, self.limits.max_line_bytes, self.limits.max_reply_bytes)
+        parser = LineParser(
+            has_body,
+            self.limits.max_line_bytes,
+            self.limits.max_reply_bytes,
+            truncated_prefix=LOG_MESSAGE_PREFIX,
+        )
         has_received = False
         try:
             while chunk := sock.recv(self.limits.link_read_bytes):
--- a/lilacwalk/protocols/executor_codec.py
+++ b/lilacwalk/protocols/executor_codec.py
@@ -12,6 +12,7 @@
 from lilacwalk.protocols.errors import FramingError
 from lilacwalk.protocols.lines import shorten
 
+LOG_MESSAGE_PREFIX = b"DMESG "  # of the only line whose length is not limited
 OUTCOMES_BY_WORD = {
     "success": Outcome.OK,
     "failure": Outcome.ERROR,
--- a/lilacwalk/protocols/lines.py
+++ b/lilacwalk/protocols/lines.py
@@ -29,11 +29,22 @@
 class LineParser:
     """Parses a stream of lines and bodies from chunks of any size."""
 
-    def __init__(self, has_body: HasBody, max_line_bytes: int, max_body_bytes: int) -> None:
-        """Sets the limits and the test for lines that are followed by a body."""
+    def __init__(
+        self,
+        has_body: HasBody,
+        max_line_bytes: int,
+        max_body_bytes: int,
+        truncated_prefix: bytes | None = None,
+    ) -> None:
+        """Sets the limits and the test for lines that are followed by a body.
+
+        A line that begins with `truncated_prefix` may be of any length, and has no body: what
+        exceeds the limit is dropped.
+        """
         self.has_body = has_body
         self.max_line_bytes = max_line_bytes
         self.max_body_bytes = max_body_bytes
+        self.truncated_prefix = truncated_prefix
         self.unparsed = b""
         self.words: list[str] | None = None  # of a line whose body is incomplete
         self.body_size = 0
@@ -66,10 +77,8 @@
             end = data.find(b"\r\n", position)
             if end < 0:
                 if len(data) - position > self.max_line_bytes:
-                    raise FramingError(
-                        expected=f"a line of at most {self.max_line_bytes} bytes",
-                        received=len(data) - position,
-                    )
+                    self.unparsed = self._truncate(data[position:])
+                    return messages
                 break
             words = data[position:end].decode("utf-8", "replace").split()
             position = end + 2
@@ -82,6 +91,15 @@
         self.unparsed = data[position:]
         return messages
 
+    def _truncate(self, line: bytes) -> bytes:
+        """Returns the beginning of an incomplete line that is too long, and the CR at its end."""
+        if self.truncated_prefix is None or not line.startswith(self.truncated_prefix):
+            raise FramingError(
+                expected=f"a line of at most {self.max_line_bytes} bytes", received=len(line)
+            )
+        beginning = line[: self.max_line_bytes].rstrip(b"\r")
+        return beginning + b"\r" if line.endswith(b"\r") else beginning
+
     def _body_size(self, words: list[str]) -> int:
         size = words[-1]
         if not (size.isascii() and size.isdigit()) or int(size) > self.max_body_bytes:
--- a/tests/protocols/test_lines.py
+++ b/tests/protocols/test_lines.py
@@ -36,3 +36,23 @@
 def test_malformed_lines_raise_a_framing_error(malformed):
     with pytest.raises(FramingError):
         LineParser(lambda words: words[0] == "REAP", 64, 100).feed(malformed)
+
+
+@pytest.mark.parametrize("chunk_size", [1, 7, 64, 4_096])
+@pytest.mark.parametrize("text", [b"x" * 6_000, b"\r" * 6_000, b"x\r" * 3_000])
+def test_a_line_with_the_truncated_prefix_may_have_any_length(chunk_size, text):
+    """Guards against a remark of the executor that ends its link at every attempt."""
+    parser = LineParser(lambda words: words[0] == "REAP", 64, 100, truncated_prefix=b"DMESG ")
+    stream = b"DMESG 7 " + text + b"\r\nREAP 1 ab success 9 2\r\nok\r\n"
+    messages = []
+    for position in range(0, len(stream), chunk_size):
+        messages += parser.feed(stream[position : position + chunk_size])
+        assert len(parser.unparsed) <= 64 + 2
+    assert [words[:2] for words, _ in messages] == [["DMESG", "7"], ["REAP", "1"]]
+    assert bytes(messages[1][1]) == b"ok"
+
+
+def test_only_lines_with_the_truncated_prefix_may_be_too_long():
+    parser = LineParser(lambda words: words[0] == "REAP", 64, 100, truncated_prefix=b"DMESG ")
+    with pytest.raises(FramingError):
+        parser.feed(b"DMESGS 7 " + b"x" * 100)
--- a/tests/server/test_executor_session.py
+++ b/tests/server/test_executor_session.py
@@ -192,6 +192,18 @@
     assert proxy.receive_response()[:2] == (1, "done")
 
 
+def test_a_remark_of_the_executor_of_any_length_is_skipped_and_the_link_remains(harness):
+    """Guards against a link that ends at every attempt, because the remark is replayed on it."""
+    proxy = harness.connect_proxy()
+    proxy.submit(1)
+    request_id = next_dispatched_id(harness)
+    harness.executor.send("DMESG 1 " + "x" * 100_000)
+    finish_execution(harness, 2, request_id)
+    assert proxy.receive_response()[:2] == (1, "done")
+    harness.executor.reset()
+    assert harness.accept_executor_link().open_words == ["OPEN", "2"]
+
+
 def test_an_invalid_executor_age_closes_the_link_and_a_new_link_works(make_harness):
     harness = make_harness().start()
     executor = harness.accept_executor_link(ready=False)
