The executor session says again whether its link is ready

Cause: the split of the command delivery moved `is_ready` away from ExecutorSession, where the integrations of BGP and of the membership read it; `run` has neither. Found by reading; the same place is read by tests/edge.

--- a/lilacwalk/server/executor_session.py
+++ b/lilacwalk/server/executor_session.py
@@ -62,6 +62,11 @@
         client.on_events = self._handle_events
         client.on_disconnected = self._disconnected
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether there is a link whose replay has been received."""
+        return self.commands.is_ready
+
     # The link
 
     def _connected(self, send_buffer: SendBuffer, opening: bytes) -> None:
@@ -119,7 +124,7 @@
         tag = event.tag
         if tag[0] == GAUGE_POLL_PREFIX and tag[1:].isdecimal():
             self.commands.poll_answered(int(tag[1:]))
-        elif tag == self._fence_tag and not self.commands.is_ready:
+        elif tag == self._fence_tag and not self.is_ready:
             self._replay_ended()
 
     def _replay_ended(self) -> None:
