--- a/lilacwalk/protocols/executor_client.py
+++ b/lilacwalk/protocols/executor_client.py
@@ -93,6 +93,15 @@
         if self.sock is not None:
             shut_down_socket(self.sock)
 
+    def create_parser(self) -> LineParser:
+        """Creates the parser of a new link."""
+        return LineParser(
+            has_body,
+            self.limits.max_line_bytes,
+            self.limits.max_reply_bytes,
+            truncated_prefix=LOG_MESSAGE_PREFIX,
+        )
+
     def _run(self) -> None:
         delay = self.limits.min_reconnect_delay
         try:
@@ -137,12 +146,7 @@
         Returns:
             Whether any data was received.
         """
-        parser = LineParser(
-            has_body,
-            self.limits.max_line_bytes,
-            self.limits.max_reply_bytes,
-            truncated_prefix=LOG_MESSAGE_PREFIX,
-        )
+        parser = self.create_parser()
         has_received = False
         try:
             while chunk := sock.recv(self.limits.link_read_bytes):
