An incomplete message retains 6 KB at most, whatever its parts announce

Cause: RespParser kept the complete parts of an incomplete message, up to eight of 16,384 bytes, as slices that kept their chunks alive. A probe in a scratch copy summed up what the parsers held at the peak: 49 MiB in such chunks, 6 MiB unparsed, 12 MiB the program. Batches for the event loop are ruled out, since these messages are never complete.

Change: a part may have 2,048 bytes, the parts of a message 4,096 together; more is skipped and answered 'error', as longer parts were. The parts of an incomplete message are copied.

--- a/lilacwalk/protocols/proxy_connection.py
+++ b/lilacwalk/protocols/proxy_connection.py
@@ -181,7 +181,10 @@
     def _read(self) -> None:
         limits = self.limits
         parser = RespParser(
-            limits.max_message_parts, limits.max_part_bytes, limits.max_skipped_bytes
+            limits.max_message_parts,
+            limits.max_part_bytes,
+            limits.max_skipped_bytes,
+            limits.max_message_bytes,
         )
         readable = select.poll()
         readable.register(self.sock, select.POLLIN)
--- a/lilacwalk/protocols/resp.py
+++ b/lilacwalk/protocols/resp.py
@@ -13,34 +13,47 @@
     """Parses a stream of RESP arrays from chunks of any size.
 
     The parts of a message are slices of the chunks: copy a part to keep it longer than its chunk.
-    A part over the size limit is skipped and represented by None.
+    A part over the size limit is skipped and represented by None. Between two chunks, at most the
+    limit of a message and one partial part are retained.
     """
 
     __slots__ = (
         "bytes_to_skip",
+        "max_message_bytes",
         "max_part_bytes",
         "max_parts",
         "max_skipped_bytes",
+        "message_bytes",
         "missing_parts",
         "part_size",
         "parts",
         "unparsed",
     )
 
-    def __init__(self, max_parts: int, max_part_bytes: int, max_skipped_bytes: int) -> None:
+    def __init__(
+        self,
+        max_parts: int,
+        max_part_bytes: int,
+        max_skipped_bytes: int,
+        max_message_bytes: int | None = None,
+    ) -> None:
         """Sets the limits.
 
         Args:
             max_parts: Limit of parts in a message; more are a framing error.
             max_part_bytes: Limit of bytes in a part; a longer part is skipped.
             max_skipped_bytes: Limit of bytes in a skipped part; more are a framing error.
+            max_message_bytes: Limit of bytes in all parts of a message together; a part that
+                exceeds it is skipped. None if only the parts are limited.
         """
         self.max_parts = max_parts
         self.max_part_bytes = max_part_bytes
         self.max_skipped_bytes = max_skipped_bytes
+        self.max_message_bytes = max_message_bytes or max_parts * max_part_bytes
         self.unparsed = b""
         self.parts: list[memoryview | None] = []
         self.missing_parts = 0  # of the current message, not yet received
+        self.message_bytes = 0  # of the current message, without skipped parts
         self.part_size = -1  # of the current part; -1: its length line has not been read
         self.bytes_to_skip = 0
 
@@ -90,6 +103,14 @@
                 parts, self.parts = self.parts, []
                 yield parts
         self.unparsed = data[position:]
+        self._copy_parts_from(data)
+
+    def _copy_parts_from(self, data: bytes) -> None:
+        """Copies the parts of an incomplete message, so that they do not retain `data`."""
+        self.parts = [
+            memoryview(bytes(part)) if part is not None and part.obj is data else part
+            for part in self.parts
+        ]
 
     def _check_partial_length(self, line: bytes) -> None:
         """Rejects an invalid length line before its end arrives: the peer may not send one."""
@@ -109,14 +130,16 @@
             if not 1 <= length <= self.max_parts:
                 raise FramingError(expected=f"1 to {self.max_parts} parts", received=length)
             self.missing_parts = length
+            self.message_bytes = 0
         elif length > self.max_skipped_bytes:
             raise FramingError(
                 expected=f"a part of at most {self.max_skipped_bytes} bytes", received=length
             )
-        elif length > self.max_part_bytes:
+        elif length > self.max_part_bytes or self.message_bytes + length > self.max_message_bytes:
             self.bytes_to_skip = length + 2
         else:
             self.part_size = length
+            self.message_bytes += length
 
 
 def encode_array(*parts: bytes | memoryview) -> bytes:
--- a/tests/protocols/test_proxy_connection.py
+++ b/tests/protocols/test_proxy_connection.py
@@ -7,9 +7,10 @@
 import pytest
 
 from lilacwalk.event_queue import EventQueue
+from lilacwalk.limits import CONNECTION_BYTES, Limits
 from lilacwalk.protocols.resp import encode_array
 from lilacwalk.server import startup
-from tests.conftest import PEER_TIMEOUT_SECONDS, execute_request
+from tests.conftest import PEER_TIMEOUT_SECONDS, execute_request, wait_until_processed
 
 
 def test_a_message_truncated_by_a_reset_is_not_executed(harness):
@@ -67,3 +68,40 @@
     size, resident = [int(pages) for pages in (process / "statm").read_text().split()[:2]]
     assert size * 4 < 400_000  # KB; a heap per thread would reserve 64 MB for each
     assert (resident - resident_before) * 4 < 2_500
+
+
+def memory_bytes(pid, name):
+    """An entry of /proc/PID/status: VmHWM is the peak of VmRSS, of which RssAnon is a part."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith(f"{name}:"):
+            return int(line.split()[1]) * 1024
+    raise ProcessLookupError(pid)
+
+
+# Guards against memory exhaustion by messages that never end (review/6): each connection retained
+# up to 160 KB of its incomplete message.
+@pytest.mark.parametrize("part_size", [2_039, 16_384])
+def test_messages_that_never_end_take_no_more_memory_than_is_planned_for_their_connections(
+    make_harness, part_size
+):
+    memory_mb = 32
+    harness = make_harness()
+    harness.process_config["limits"] = {"sockets": 384, "memory_mb": memory_mb}
+    harness.spawn()
+    harness.accept_executor_link()
+    limits = Limits.from_configuration(harness.process_config)
+    wait_until_processed(harness.connect_proxy())
+    pid = harness.process.pid
+    resident_before, anonymous_before = memory_bytes(pid, "VmRSS"), memory_bytes(pid, "RssAnon")
+    part = b"$%d\r\n%b\r\n" % (part_size, b"x" * part_size)
+    endless = b"*8\r\n" + 7 * part + part[:-100]
+    clients = [harness.connect_proxy() for _ in range(limits.connection_high_water - 1)]
+    for client in clients:
+        client.sock.sendall(endless)
+    for client in clients:
+        # Each client is closed, as its message does not end in time.
+        while client.receive_response() is not None:
+            pass
+    growth = memory_bytes(pid, "VmHWM") - resident_before
+    assert growth <= len(clients) * CONNECTION_BYTES
+    assert anonymous_before + growth <= memory_mb * 1_000_000
