Input is processed in turns, and a stop signal waits behind none of it

The drain began 594 ms after the signal.

Cause, from a trace in a scratch copy: one queue in the order of arrival, 930 to 980 batches long, in which the drain and every request waited 580 ms, a request as long again for its read credit; 414 connections open for 80 clients, as readers that wait for credits do not see that a client left.

Change: readers announce chunks, the event loop parses them in turns (InputScheduler); the input of a client that has left is discarded; signals are handled first, and a drain counts from the signal, in the controller too. Executions' results do not wait behind connections that come and go.

Tests: two are replaced by ones as strict, since they looked into the reader's parser, which the event loop has now: 'read no further than two unprocessed batches' checks chunks and their credits, 'a request being decoded keeps its connection open' blocks the reader between read and announcement.

--- a/lilacwalk/frontends/proxy_housekeeping.py
+++ b/lilacwalk/frontends/proxy_housekeeping.py
@@ -126,6 +126,7 @@
         if connection.partial_message_number:
             return (
                 not connection.open_requests
+                and not connection.has_unprocessed_input
                 and now - connection.partial_message_seen_since > timeout
             )
         return (
--- a/lilacwalk/frontends/proxy_resp2.py
+++ b/lilacwalk/frontends/proxy_resp2.py
@@ -82,8 +82,10 @@
     def reject_malformed(self, client: Connection, tag: int, reason: str) -> None:
         """Logs a message that cannot be processed, and responds to it unless the tag is 0.
 
-        The number of log lines grows only with the logarithm of the number of such messages.
+        The number of log lines grows only with the logarithm of the number of such messages. The
+        connection is suspect until its next valid message.
         """
+        client.is_suspect = True
         if count := self.listener.malformed_messages.count_and_check():
             log.warning(
                 "event=malformed_message count=%d peer=%s reason=%r", count, client.peer, reason
@@ -124,6 +126,8 @@
     def connection_opened(self, connection: Connection) -> None:
         """Adds the connection, and closes others if there are too many."""
         connection.frontend = self
+        if connection.has_unprocessed_input:
+            connection.event_queue.announce_input(connection)
         connection.last_used = self.host.now
         self.connections[connection] = None
         self.host.connection_opened()
@@ -136,6 +140,7 @@
         """Removes the connection, frees its slot, and reports its open requests as abandoned."""
         self.connections.pop(connection, None)
         connection.is_shut_down = True
+        connection.discard_input()
         connection.send_buffer.close()
         self.listener.release_slot()
         for in_flight in list(connection.open_requests.values()):
@@ -145,16 +150,29 @@
         """Records that the listener's thread has ended, or that its backlog has been drained."""
         self.pending_listener_closures -= 1
 
-    def messages_received(self, connection: Connection, messages: list[ProxyMessage]) -> None:
-        """Returns the read credit, and processes messages until the connection is shut down."""
-        connection.read_credits.put(None)
-        if connection.is_shut_down:
-            return
+    def input_received(self, connection: Connection, max_messages: int) -> int:
+        """Processes messages until one is malformed, the limit, or the end of the connection.
+
+        The input of a connection that the peer has closed, or that has been shut down, is
+        discarded: its client is gone.
+        """
+        if connection.frontend is None:
+            return 0  # the connection is still in the event queue
+        if not connection.is_shut_down and connection.has_left_unnoticed:
+            connection.abort()
         connection.last_used = self.host.now
-        for message in messages:
-            if connection.is_shut_down:
-                return
+        processed = 0
+        while not connection.is_shut_down and processed < max_messages:
+            message = connection.next_message()
+            if message is None:
+                break
+            processed += 1
             self._process(connection, message)
+            if connection.is_suspect:
+                break
+        if connection.is_shut_down:
+            connection.discard_input()
+        return processed
 
     # Internals
 
@@ -169,11 +187,14 @@
                     self.host.client_gone(connection.open_requests[message.tag])
             case Probe():
                 connection.has_sent_valid_message = True
+                connection.is_suspect = False
                 word = HEALTHY if self.host.is_healthy else UNHEALTHY
                 self.reply(connection, message.tag, word)
             case Malformed():
-                if message.tag not in connection.open_requests:
-                    self.reject_malformed(connection, message.tag, message.problem)
+                is_answered = message.tag not in connection.open_requests
+                self.reject_malformed(
+                    connection, message.tag if is_answered else 0, message.problem
+                )
 
     def _submit(self, connection: Connection, message: Submit) -> None:
         tag = message.tag
@@ -189,6 +210,8 @@
             )
         elif problem := self.host.submit(connection, tag, message.incoming):
             self.reject_malformed(connection, tag, problem)
+        else:
+            connection.is_suspect = False
 
     def reply(self, connection: Connection, tag: int, word: bytes) -> None:
         """Sends a response of a status word and the load report."""
--- a/lilacwalk/limits.py
+++ b/lilacwalk/limits.py
@@ -84,10 +84,8 @@
     max_skipped_bytes: int = 1_048_576
     #: Number of bytes requested by one socket read. Most messages have a few hundred bytes.
     proxy_read_bytes: int = 2_048
-    #: Maximum number of messages passed to the event loop in one batch.
-    max_batch_messages: int = 32
-    #: Maximum number of batches read from one connection that the event loop has not processed yet.
-    max_undecided_batches: int = 2
+    #: Maximum number of chunks read from one connection that the event loop has not processed yet.
+    max_unprocessed_chunks: int = 2
     #: Size of the operating system's socket buffer in each direction.
     socket_buffer_bytes: int = 65_536
     #: Maximum number of connections that wait to be accepted.
@@ -99,6 +97,8 @@
     new_connection_age: int = SECOND // 5
     #: Maximum number of queue items that the event loop processes in one iteration.
     max_events_per_iteration: int = 64
+    #: Number of messages of proxies that the event loop processes in one iteration.
+    max_messages_per_iteration: int = 64
 
     # Links to the executor and the dependency.
 
--- a/lilacwalk/overload/controller.py
+++ b/lilacwalk/overload/controller.py
@@ -174,8 +174,8 @@
                 self._timer_expired(core_use, run_queue)
             case ClientGone(request):
                 self.parts.termination.abandon(request)
-            case DrainStarted(stop_at):
-                self._drain_started(stop_at)
+            case DrainStarted(stop_at, notified_at):
+                self._drain_started(stop_at, notified_at)
             case ServerStarted():
                 self._server_started()
             case _:
@@ -294,13 +294,15 @@
             parts.context.sink.log("executions make progress again")
             parts.load_reporter.report_load()
 
-    def _drain_started(self, stop_at: int) -> None:
+    def _drain_started(self, stop_at: int, notified_at: int | None) -> None:
         """Reports the server as unhealthy and schedules the termination of open requests."""
         parts = self.parts
         now = parts.context.now
         terminate_at = max(now, stop_at - 2 * parts.deadline_margin)
+        grace_starts_at = now if notified_at is None else notified_at
         parts.drain.begin(
-            grace_ends_at=now + self.server.drain_grace_period, terminate_at=terminate_at
+            grace_ends_at=grace_starts_at + self.server.drain_grace_period,
+            terminate_at=terminate_at,
         )
         parts.context.schedule(terminate_at, parts.termination.reject_or_fail_all, True)
         parts.load_reporter.report_health(False)
--- a/lilacwalk/overload/events.py
+++ b/lilacwalk/overload/events.py
@@ -77,9 +77,13 @@
 
 @dataclass(frozen=True, slots=True)
 class DrainStarted:
-    """A stop of the server was requested; all requests must be answered by `stop_at`."""
+    """A stop of the server was requested; all requests must be answered by `stop_at`.
+
+    The grace for further requests begins at `notified_at`, or with the event if it is None.
+    """
 
     stop_at: int
+    notified_at: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/lilacwalk/protocols/proxy_listener.py
+++ b/lilacwalk/protocols/proxy_listener.py
@@ -10,7 +10,6 @@
 from lilacwalk.event_queue import EventQueue
 from lilacwalk.limits import Limits
 from lilacwalk.log import ReportThrottle
-from lilacwalk.protocols.proxy_codec import ProxyMessage
 from lilacwalk.protocols.proxy_connection import Connection
 from lilacwalk.protocols.send_buffer import shut_down_socket
 
@@ -24,8 +23,8 @@
     def connection_opened(self, connection: Connection) -> None:
         """Handles a new connection."""
 
-    def messages_received(self, connection: Connection, messages: list[ProxyMessage]) -> None:
-        """Handles messages in order and returns the connection's read credit."""
+    def input_received(self, connection: Connection, max_messages: int) -> int:
+        """Handles at most `max_messages` messages in order, and returns their number."""
 
     def connection_ended(self, connection: Connection) -> None:
         """Handles the last event of a connection, and releases its resources."""
@@ -119,7 +118,7 @@
                 self.sock.close()
                 # The event loop receives `listener_closed` after `connection_opened` for each
                 # connection accepted from the backlog.
-                self.event_queue.post(self.events.listener_closed)
+                self.event_queue.post_for_client(self.events.listener_closed)
             else:
                 self._open_connection(sock, f"{host}:{port}")
         return self.backlog_drained
@@ -143,7 +142,7 @@
         finally:
             if not self.is_draining or self.backlog_drained:
                 self.sock.close()  # otherwise the event loop still drains the backlog
-            self.event_queue.post(self.events.listener_closed)
+            self.event_queue.post_for_client(self.events.listener_closed)
 
     def _open_connection(self, sock: socket.socket, peer: str) -> None:
         try:
@@ -153,11 +152,11 @@
             self.connection_slots.release()
             return
         connection = Connection(sock, peer, self.limits, self.event_queue, self)
-        self.event_queue.post(self.events.connection_opened, connection)
+        self.event_queue.post_for_client(self.events.connection_opened, connection)
         try:
             connection.start()
         except RuntimeError as error:  # no thread available: only this connection is closed
             log.warning(
                 "event=connection_ended peer=%s reason=no_thread detail=%r", peer, str(error)
             )
-            self.event_queue.post(self.events.connection_ended, connection)
+            self.event_queue.post_for_client(self.events.connection_ended, connection)
--- a/lilacwalk/server/drain.py
+++ b/lilacwalk/server/drain.py
@@ -21,8 +21,8 @@
     """Waits for requests in flight to end, and closes the listeners and then the connections.
 
     The controller decides which requests are still admitted and when requests are abandoned. The
-    drain ends at most `limits.stop_timeout` after its start; the last `limits.drain_flush_margin`
-    of that time is reserved for closing connections.
+    drain ends at most `limits.stop_timeout` after the stop signal; the last
+    `limits.drain_flush_margin` of that time is reserved for closing connections.
 
     Owns the time at which the process stops.
     """
@@ -30,31 +30,39 @@
     def __init__(self, event_loop: EventLoop) -> None:
         """Creates a drain that has not started."""
         self._event_loop = event_loop
-        self.stop_at = 0  # in tenths of a millisecond; 0 until the drain starts
+        self._notified_at = 0  # in tenths of a millisecond, like `stop_at`
+        self.stop_at = 0  # 0 until the drain starts
 
     @property
     def is_started(self) -> bool:
         """Whether the drain has started."""
         return bool(self.stop_at)
 
-    def start(self) -> None:
-        """Starts the drain; further calls have no effect."""
+    def start(self, notified_at: int | None = None) -> None:
+        """Starts the drain; further calls have no effect.
+
+        All times of the drain count from `notified_at`, the time of the stop signal in tenths of a
+        millisecond, or from now if it is None.
+        """
         if self.is_started:
             return
         event_loop = self._event_loop
         now = event_loop.now
-        self.stop_at = now + event_loop.limits.stop_timeout
+        self._notified_at = now if notified_at is None else min(notified_at, now)
+        self.stop_at = self._notified_at + event_loop.limits.stop_timeout
         self._log_start()
         if event_loop.controller is not None:
             self.notify_controller()
         for frontend in event_loop.frontends:
             frontend.start_draining(now)
         grace_ends_at = (
-            now + event_loop.server.drain_grace_period + event_loop.limits.housekeeping_interval
+            self._notified_at
+            + event_loop.server.drain_grace_period
+            + event_loop.limits.housekeeping_interval
         )
         listeners_close_at = min(grace_ends_at, self._flush_starts_at())
         if event_loop.subsystems.bgp is not None:
-            event_loop.subsystems.bgp.drain(listeners_close_at - now)
+            event_loop.subsystems.bgp.drain(max(0, listeners_close_at - now))
         event_loop.schedule(listeners_close_at, self.close_listeners)
 
     def notify_controller(self) -> None:
@@ -63,7 +71,9 @@
         Also called for a controller that is created after the start of the drain.
         """
         if self.is_started:
-            self._event_loop.controller_events.append(DrainStarted(self._flush_starts_at()))
+            self._event_loop.controller_events.append(
+                DrainStarted(self._flush_starts_at(), self._notified_at)
+            )
 
     def close_listeners(self) -> None:
         """Closes the listeners, because a refused connection costs a client less than a rejection.
@@ -131,9 +141,10 @@
         event_loop = self._event_loop
         membership = event_loop.subsystems.membership
         log.info(
-            "event=drain_started in_flight=%d connections=%d%s",
+            "event=drain_started in_flight=%d connections=%d delay_ms=%.1f%s",
             len(event_loop.requests.in_flight),
             len(event_loop.proxy_frontend.connections),
+            (event_loop.now - self._notified_at) / 10,
             f" draining_members={membership.draining_peers}" if membership is not None else "",
         )
 
--- a/lilacwalk/server/event_loop.py
+++ b/lilacwalk/server/event_loop.py
@@ -11,11 +11,10 @@
 from collections.abc import Callable
 from dataclasses import replace
 from itertools import count
-from queue import Empty
 from typing import NamedTuple
 
 from lilacwalk.errors import LilacwalkError
-from lilacwalk.event_queue import Callback, ComponentFailure, EventQueue
+from lilacwalk.event_queue import Callback, ComponentFailure, EventQueue, QueueItem
 from lilacwalk.frontends.proxy_resp2 import ProxyFrontend
 from lilacwalk.limits import SECOND, Limits
 from lilacwalk.overload.controller import Controller
@@ -32,6 +31,7 @@
 from lilacwalk.server.dependency_calls import DependencyCalls
 from lilacwalk.server.drain import Drain
 from lilacwalk.server.executor_session import ExecutorSession
+from lilacwalk.server.input_scheduler import InputScheduler
 from lilacwalk.server.request_lifecycle import RequestLifecycle
 from lilacwalk.server.subsystems import Subsystems
 
@@ -57,14 +57,15 @@
 class EventLoop:
     """Takes events from the queue and passes them to the controller in one batch per iteration.
 
-    An iteration takes at most `limits.max_events_per_iteration` items, so that a long queue does
-    not delay timers. Data sent during an iteration is flushed at its end, with a single flush per
-    socket.
+    An iteration takes at most `limits.max_events_per_iteration` items and then processes about
+    `limits.max_messages_per_iteration` messages of proxies, so that neither a long queue nor their
+    input delays timers. Data sent during an iteration is flushed at its end, with a single flush
+    per socket.
 
-    Owns the queue, the timers, the time of the current iteration (`now`, Unix time in tenths of a
-    millisecond), the controller, the events of its next batch and the send buffers to flush. All
-    other state belongs to the components `requests`, `executor`, `dependency_calls`,
-    `decision_applier`, `subsystems` and `drain`.
+    Owns the queue, the order in which proxies are processed, the timers, the time of the current
+    iteration (`now`, Unix time in tenths of a millisecond), the controller, the events of its next
+    batch and the send buffers to flush. All other state belongs to the components `requests`,
+    `executor`, `dependency_calls`, `decision_applier`, `subsystems` and `drain`.
     """
 
     def __init__(
@@ -92,6 +93,7 @@
         self.controller: Controller | None = None  # None until the executor has been up once
         self.controller_events: list[Event] = []  # the next batch for the controller
         self.warm_up_ends_at = 0  # 0: the executor did not start with cold caches
+        self._input_scheduler = InputScheduler()
         self._timers: list[Timer] = []
         self._timer_order = count()
         self._unflushed_buffers: dict[SendBuffer, None] = {}
@@ -119,9 +121,13 @@
         items = self.take_items()
         self.now = max(self.now, self.clock.now())
         for item in items:
-            if isinstance(item, ComponentFailure):
+            if isinstance(item, Callback):
+                item()
+            elif isinstance(item, ComponentFailure):
                 raise ComponentFailedError(item.reason)
-            item()
+            else:
+                self._input_scheduler.input_announced(item)
+        self._input_scheduler.process(self.limits.max_messages_per_iteration)
         timers = self._timers
         while timers and timers[0].due <= self.now:
             timer = heapq.heappop(timers)
@@ -134,20 +140,16 @@
             send_buffer.flush()
         self.subsystems.report_node_state()
 
-    def take_items(self) -> list[Callback | ComponentFailure]:
-        """Waits for an item, at most until the next timer is due, and takes the queued items.
+    def take_items(self) -> list[QueueItem]:
+        """Takes the queued items, as far as `limits.max_events_per_iteration` allows.
 
-        Takes at most `limits.max_events_per_iteration` items; returns none if none arrived.
+        If there are none, waits for one until the next timer is due, unless input of a proxy is
+        left to be processed.
         """
-        wait = max(0, self._timers[0].due - self.clock.now()) if self._timers else SECOND
-        items: list[Callback | ComponentFailure] = []
-        try:
-            items.append(self.event_queue.get(timeout=wait / SECOND))
-            while len(items) < self.limits.max_events_per_iteration:
-                items.append(self.event_queue.get_nowait())
-        except Empty:
-            pass
-        return items
+        wait = 0
+        if self._input_scheduler.is_idle:
+            wait = max(0, self._timers[0].due - self.clock.now()) if self._timers else SECOND
+        return self.event_queue.take(self.limits.max_events_per_iteration, wait / SECOND)
 
     def schedule(self, due: int, handler: Callable[..., object], *arguments: object) -> None:
         """Schedules a call of `handler` in the first iteration at or after `due`."""
--- a/lilacwalk/server/startup.py
+++ b/lilacwalk/server/startup.py
@@ -91,16 +91,23 @@
     threading.stack_size(THREAD_STACK_BYTES)
     sys.setswitchinterval(SWITCH_INTERVAL)
     event_queue = EventQueue()
+    clock = Clock()
     # The handlers are set before the files are read and the listener is opened. The effect of a
     # signal that arrives during the start is queued until the event loop runs: the files are then
-    # read again, or the drain starts, in which accepted requests still get a response.
+    # read again, or the drain starts, in which accepted requests still get a response. It does not
+    # wait for other items of the queue, whose number depends on what clients send.
     signal.signal(
         signal.SIGHUP,
-        lambda *_: event_queue.post(
+        lambda *_: event_queue.post_urgent(
             lambda: reload_configuration(event_loop, path, read_operator_config)
         ),
     )
-    signal.signal(signal.SIGTERM, lambda *_: event_queue.post(lambda: event_loop.drain.start()))
+
+    def request_drain(*_: object) -> None:
+        notified_at = clock.now()
+        event_queue.post_urgent(lambda: event_loop.drain.start(notified_at))
+
+    signal.signal(signal.SIGTERM, request_drain)
     try:
         operator_config = read_operator_config() if read_operator_config is not None else None
         event_loop, components = build(read_configuration(path), event_queue)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -172,6 +172,7 @@
     """Counts the items added to the queue, so that a test can wait for them."""
 
     def __init__(self):
+        super().__init__()
         self.added_items = threading.Semaphore(0)
 
     def put(self, item):
--- a/tests/frontends/test_proxy_housekeeping.py
+++ b/tests/frontends/test_proxy_housekeeping.py
@@ -8,7 +8,6 @@
 import pytest
 
 from lilacwalk.event_queue import EventQueue
-from lilacwalk.protocols import proxy_connection
 from lilacwalk.protocols.proxy_connection import Connection
 from lilacwalk.protocols.resp import encode_array
 from lilacwalk.server import startup
@@ -148,28 +147,29 @@
     return harness
 
 
-def test_a_request_being_decoded_keeps_its_idle_connection_open_and_is_answered(
+def test_a_request_that_is_read_and_not_processed_keeps_its_idle_connection_open_and_is_answered(
     harness_with_idle_proxies, monkeypatch
 ):
-    decode_started, decode_allowed, decode = (
+    event_queue = harness_with_idle_proxies.event_loop.event_queue
+    request_read, announcement_allowed, announce = (
         threading.Event(),
         threading.Event(),
-        proxy_connection.decode_message,
+        event_queue.announce_input,
     )
 
-    def blocked_decode(parts, max_body_bytes):
-        decode_started.set()
-        assert decode_allowed.wait(PEER_TIMEOUT_SECONDS)
-        return decode(parts, max_body_bytes)
+    def blocked_announce(connection):
+        request_read.set()
+        assert announcement_allowed.wait(PEER_TIMEOUT_SECONDS)
+        announce(connection)
 
-    monkeypatch.setattr(proxy_connection, "decode_message", blocked_decode)
+    monkeypatch.setattr(event_queue, "announce_input", blocked_announce)
     sender, other_proxy = harness_with_idle_proxies.idle_proxies
     sender.submit(1)
-    assert decode_started.wait(PEER_TIMEOUT_SECONDS)
+    assert request_read.wait(PEER_TIMEOUT_SECONDS)
     harness_with_idle_proxies.pass_close_timeout()
     # The server has closed this connection, so housekeeping has checked both.
     assert other_proxy.receive_response() is None
-    decode_allowed.set()
+    announcement_allowed.set()
     finish_execution(harness_with_idle_proxies, 1, next_dispatched_id(harness_with_idle_proxies))
     assert sender.receive_response()[:2] == (1, "done")
 
--- a/tests/overload/test_admission_gate.py
+++ b/tests/overload/test_admission_gate.py
@@ -36,3 +36,15 @@
         assert host.controller.memory_kb <= 500
     assert host.decisions("reject")
     assert len(host.decisions("dispatch")) >= 4
+
+
+def test_the_grace_of_a_drain_counts_from_the_stop_signal(make_host):
+    """Guards against an execution after the grace if the signal was handled late."""
+    host = make_host(drain_grace_period=1_000)
+    host.process(DrainStarted(host.now + 50_000, notified_at=host.now - 400))
+    host.now += 600
+    in_time = host.receive()
+    host.now += 1
+    late = host.receive()
+    assert host.decisions("dispatch") == [in_time]
+    assert host.decisions("reject") == [late]
--- a/tests/protocols/test_proxy_connection.py
+++ b/tests/protocols/test_proxy_connection.py
@@ -22,26 +22,37 @@
     assert response[1] == "done"
 
 
-def test_a_proxy_that_floods_the_server_is_read_no_further_than_two_unprocessed_batches(
+def test_a_proxy_that_floods_the_server_is_read_no_further_than_two_unprocessed_chunks(
     make_harness,
 ):
-    """Otherwise the messages of one proxy would fill the event queue and delay all other proxies.
+    """Otherwise the messages of one proxy would fill the memory.
 
-    The reader thread needs a credit for each batch; the event loop returns it after processing.
+    The reader thread needs a credit for each chunk; the event loop returns it after processing.
     """
     event_loop, (listener, *_) = startup.build(make_harness().process_config, EventQueue())
     listener.start()
+    flood = b"".join(encode_array(b"PROBE", b"%d" % tag) for tag in range(1, 500))
     with socket.create_connection(listener.address, PEER_TIMEOUT_SECONDS) as flooding_socket:
-        flooding_socket.sendall(
-            b"".join(encode_array(b"PROBE", b"%d" % tag) for tag in range(1, 500))
-        )
-        (connection,) = event_loop.event_queue.get(timeout=PEER_TIMEOUT_SECONDS).arguments
-        batches = [event_loop.event_queue.get(timeout=PEER_TIMEOUT_SECONDS) for _ in range(2)]
-        assert [len(batch.arguments[1]) for batch in batches] == [32, 32]
+        flooding_socket.sendall(flood)
+        opened = event_loop.event_queue.get(timeout=PEER_TIMEOUT_SECONDS)
+        (connection,) = opened.arguments
+        for _ in range(2):
+            assert event_loop.event_queue.get(timeout=PEER_TIMEOUT_SECONDS) is connection
         with pytest.raises(Empty):
             event_loop.event_queue.get(timeout=0.1)
-        connection.read_credits.put(None)
-        assert event_loop.event_queue.get(timeout=PEER_TIMEOUT_SECONDS).arguments[1]
+        assert connection.chunks.qsize() == 2
+        opened()
+        assert event_loop.event_queue.get_nowait() is connection  # its input can be processed now
+        first_chunk = flood[: event_loop.limits.proxy_read_bytes]
+        for _ in range(first_chunk.count(b"PROBE") - 2):
+            assert connection.process_input(1) == 1
+        with pytest.raises(Empty):
+            event_loop.event_queue.get(timeout=0.1)
+        connection.process_input(8)  # the first chunk has been processed
+        assert event_loop.event_queue.get(timeout=PEER_TIMEOUT_SECONDS) is connection
+        with pytest.raises(Empty):
+            event_loop.event_queue.get(timeout=0.1)
+        assert connection.chunks.qsize() == 1  # and another one is being processed
     listener.close()
 
 
