A connection that ends before it is accepted does not end the TLS edge

Cause: wrap_socket reads from a socket that is no longer connected and raises; nothing caught it in _accept, so the edge's thread ended. The traceback of edge_failed names it; a reset after the accept is an error of the handshake, which was handled.

Change: an OSError while an accepted socket is prepared closes that socket alone. Related: any exception in handling one device's input or one datagram now ends that connection or drops that datagram; an error of one accepted socket no longer ends the BGP listener, a failed accept no longer ends an admin socket.

--- a/lilacwalk/bgp/speaker_io.py
+++ b/lilacwalk/bgp/speaker_io.py
@@ -539,19 +539,32 @@
             while not self.ended.is_set():
                 try:
                     sock, (host, *_) = self.listener.accept()
+                    self._prepare_socket(sock)
                 except OSError as error:
                     if not self.ended.is_set():
                         log.warning({"event": "accept_failed", "detail": str(error)})
                         # Avoids a busy loop, for example if no file descriptor is free.
                         self.ended.wait(0.05)
                     continue
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 handled = threading.Event()
                 self.inbox.put((self._accept_in_speaker_thread, sock, host, handled))
                 handled.wait(self.bounds.connect)
         finally:
             self.listener.close()
 
+    @staticmethod
+    def _prepare_socket(sock: socket.socket) -> None:
+        """Sets the options of an accepted socket.
+
+        Raises:
+            OSError: The router has already closed the connection; the socket is closed.
+        """
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:
+            sock.close()
+            raise
+
     def _accept_in_speaker_thread(
         self, sock: socket.socket, host: str, handled: threading.Event
     ) -> None:
--- a/lilacwalk/edge/host.py
+++ b/lilacwalk/edge/host.py
@@ -163,6 +163,8 @@
         self.device_sockets: dict[int, DeviceSocket] = {}
         self.last_connection_number = 0
         self.invalid_frame_throttle = ReportThrottle()
+        self.lost_connection_throttle = ReportThrottle()
+        self.defect_throttle = ReportThrottle()
         self.has_stopped = threading.Event()
         self.is_ending = False
         # Whether `stop_accepting` was called and no connection or CoAP request is left; read by the
@@ -370,7 +372,11 @@
                 return
             except OSError:
                 continue  # an ICMP error for a datagram sent earlier
-            self.coap.datagram_received(address, data, self.clock())
+            try:
+                self.coap.datagram_received(address, data, self.clock())
+            except Exception:  # a defect that one datagram reveals must not end the edge
+                if count := self.defect_throttle.count_and_check():
+                    log.exception({"event": "edge_input_failed", "count": count})
 
     def _accept(self) -> None:
         """Accepts waiting connections."""
@@ -382,30 +388,44 @@
             except OSError as error:
                 log.warning({"event": "accept_failed", "detail": str(error)})
                 return
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.last_connection_number += 1
-            packed = socket.inet_pton(socket.AF_INET6 if ":" in host else socket.AF_INET, host)
-            if self.tls_context is not None:
-                sock = self.tls_context.wrap_socket(
-                    sock, server_side=True, do_handshake_on_connect=False
-                )
-            stream = Stream(self.config.body + FRAME_OVERHEAD_BYTES)
-            device_socket = DeviceSocket(
-                self.last_connection_number,
-                sock,
-                packed,
-                stream,
-                self.tls_context is not None,
-                deque(),
-            )
-            if not self.service.connection_opened(device_socket.number, packed, b"", self.clock()):
-                shut_down_socket(sock)
+            try:
+                sock = self._prepare_socket(sock)
+            except OSError as error:  # the device has already closed or reset the connection
                 sock.close()
+                if count := self.lost_connection_throttle.count_and_check():
+                    detail = str(error)
+                    log.warning({"event": "edge_connection_lost", "count": count, "detail": detail})
                 continue
-            self.device_sockets[device_socket.number] = device_socket
-            device_socket.events = selectors.EVENT_READ
-            self.selector.register(sock, device_socket.events, device_socket)
+            self._open_connection(sock, host)
+
+    def _prepare_socket(self, sock: socket.socket) -> socket.socket:
+        """Sets the options of an accepted socket; with TLS, returns it wrapped, before a handshake.
+
+        Raises:
+            OSError: The connection has ended, or bytes came that TLS does not allow there.
+        """
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self.tls_context is None:
+            return sock
+        return self.tls_context.wrap_socket(sock, server_side=True, do_handshake_on_connect=False)
+
+    def _open_connection(self, sock: socket.socket, host: str) -> None:
+        """Adds an accepted connection, or closes it if the service does not accept it."""
+        self.last_connection_number += 1
+        packed = socket.inet_pton(socket.AF_INET6 if ":" in host else socket.AF_INET, host)
+        stream = Stream(self.config.body + FRAME_OVERHEAD_BYTES)
+        is_handshaking = self.tls_context is not None
+        device_socket = DeviceSocket(
+            self.last_connection_number, sock, packed, stream, is_handshaking, deque()
+        )
+        if not self.service.connection_opened(device_socket.number, packed, b"", self.clock()):
+            shut_down_socket(sock)
+            sock.close()
+            return
+        self.device_sockets[device_socket.number] = device_socket
+        device_socket.events = selectors.EVENT_READ
+        self.selector.register(sock, device_socket.events, device_socket)
 
     def _on_socket_ready(self, device_socket: DeviceSocket, events: int) -> None:
         """Continues the TLS handshake, or writes and reads; closes the socket on an error."""
@@ -422,6 +442,10 @@
             pass
         except OSError:
             self._close_socket(device_socket)
+        except Exception:  # a defect that one device's input reveals must not end the others
+            if count := self.defect_throttle.count_and_check():
+                log.exception({"event": "edge_input_failed", "count": count})
+            self._close_socket(device_socket)
 
     def _continue_handshake(self, device_socket: DeviceSocket) -> bool:
         """Continues the TLS handshake, and returns whether it is complete."""
--- a/lilacwalk/protocols/admin_socket.py
+++ b/lilacwalk/protocols/admin_socket.py
@@ -20,6 +20,7 @@
 MAX_QUERY_BYTES = 512
 CLIENT_TIMEOUT = 2.0  # seconds, for each operation on a connection
 READ_BYTES = 65_536
+ACCEPT_RETRY_DELAY = 0.05  # seconds; accepting fails if the process is out of descriptors
 
 
 class QueryHandler(Protocol):
@@ -47,6 +48,7 @@
         self.path = path
         self.answer = answer
         self.name = name
+        self.is_closed = False
         self.sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         try:
             if os.path.exists(path) and not self._is_served(path):
@@ -74,6 +76,7 @@
 
     def close(self) -> None:
         """Stops accepting connections and removes the path."""
+        self.is_closed = True
         shut_down_socket(self.sock)
         with contextlib.suppress(OSError):
             os.unlink(self.path)
@@ -82,9 +85,13 @@
         while True:
             try:
                 sock, _ = self.sock.accept()
-            except OSError:
-                self.sock.close()
-                return
+            except OSError as error:
+                if self.is_closed:
+                    self.sock.close()
+                    return
+                log.warning("event=accept_failed detail=%r", str(error))
+                threading.Event().wait(ACCEPT_RETRY_DELAY)  # avoids a busy loop
+                continue
             with sock:
                 self._serve(sock)
 
--- a/tests/edge/test_coap.py
+++ b/tests/edge/test_coap.py
@@ -593,6 +593,24 @@
     device.end()
 
 
+def test_a_defect_in_handling_one_datagram_does_not_end_the_edge(coap, monkeypatch):
+    site, address = coap()
+    datagram_received = site.edge.coap.datagram_received
+
+    def fail_once(*arguments):
+        if not site.edge.defect_throttle.count:
+            raise ZeroDivisionError
+        datagram_received(*arguments)
+
+    monkeypatch.setattr(site.edge.coap, "datagram_received", fail_once)
+    device = CoapDevice(address, site.token())
+    try:  # the device sends its first datagram again
+        assert device.ask("look", b"a", int(TIMEOUT_SECONDS * 1000)).body == b"<a>"
+    finally:
+        device.end()
+    assert site.edge.thread.is_alive()
+
+
 def test_loss_duplication_and_reordering_execute_no_request_twice(coap):
     site, address = coap()
     conditions = LinkConditions(delay=0.002, jitter=0.01, good_to_bad=0.2, bad_to_good=0.5)
--- a/tests/edge/test_device_link.py
+++ b/tests/edge/test_device_link.py
@@ -371,6 +371,71 @@
     assert result.exit_code == 2 and expected_text in result.output
 
 
+@pytest.fixture
+def make_tls_site(make_site, tmp_path):
+    """Returns a site whose edge requires TLS, and a function that connects a device to it."""
+    sign, ca_file = make_certificate_authority(tmp_path)
+    sign("edge", "edge")
+    site = make_site("tls {", f" certificate {tmp_path}/edge.pem", f" key {tmp_path}/edge.key", "}")
+    device_tls = ssl.create_default_context(cafile=ca_file)
+    return site, lambda: site.device(tls=device_tls, server_name="127.0.0.1")
+
+
+def reset_after(address, data=b""):
+    """Connects, sends the data and resets the connection."""
+    sock = socket.create_connection(address, TIMEOUT_SECONDS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    sock.sendall(data)
+    sock.close()
+
+
+# Guards against the end of the edge for all devices by one connection that had ended before it was
+# accepted: the error of its TLS socket ended the edge's thread (review/8).
+@pytest.mark.parametrize("data", [b"", b"GET / HTTP/1.1\r\n\r\n", b"\x16\x03\x01"])
+@pytest.mark.parametrize("is_accepted_before", [False, True])
+def test_a_connection_that_is_reset_ends_neither_the_tls_edge_nor_other_connections(
+    make_tls_site, data, is_accepted_before
+):
+    site, connect_device = make_tls_site
+    device = connect_device()
+    assert device.outcome(device.ask("look", b"a"), TIMEOUT_SECONDS).body == b"<a>"
+    if is_accepted_before:
+        reset_after(site.address, data)
+    else:
+        blocked, released = threading.Event(), threading.Event()
+        site.edge.post(lambda: (blocked.set(), released.wait(TIMEOUT_SECONDS)))
+        assert blocked.wait(TIMEOUT_SECONDS)
+        for _ in range(5):
+            reset_after(site.address, data)
+        released.set()
+    assert device.outcome(device.ask("look", b"b"), TIMEOUT_SECONDS).body == b"<b>"
+    new_device = connect_device()
+    assert new_device.outcome(new_device.ask("look", b"c"), TIMEOUT_SECONDS).body == b"<c>"
+    assert device.connections == 1
+
+
+def test_a_defect_in_handling_the_input_of_one_device_does_not_end_the_connections_of_others(
+    make_site, monkeypatch
+):
+    site = make_site()
+    device, other_device = site.device(), site.device(b"other")
+    for each in (device, other_device):
+        assert each.outcome(each.ask("look", b"a"), TIMEOUT_SECONDS).body == b"<a>"
+    frame_received = site.edge.service.frame_received
+
+    def fail_once(number, frame, now):
+        if getattr(frame, "body", b"") == b"defect" and not site.edge.defect_throttle.count:
+            raise ZeroDivisionError
+        frame_received(number, frame, now)
+
+    monkeypatch.setattr(site.edge.service, "frame_received", fail_once)
+    number = device.ask("look", b"defect")
+    assert other_device.outcome(other_device.ask("look", b"b"), TIMEOUT_SECONDS).body == b"<b>"
+    # The device connects again and repeats its request.
+    assert device.outcome(number, TIMEOUT_SECONDS).body == b"<defect>"
+    assert (device.connections, other_device.connections) == (2, 1)
+
+
 @pytest.mark.parametrize("days, expected_exit_code", [(1, 0), (-1, 2)])
 def test_check_reports_an_expired_certificate_and_a_key_that_does_not_match(
     tmp_path, days, expected_exit_code
