Requests with different idempotency keys are not joined on the edge

Seen: the second of two deduplicated requests of a device, with a key of its own and an equal body in a new session, was answered with the first one's result and never executed.

Cause: the fingerprint of the duplicate detector left out the key.

Change: the key is part of it, unless the device's numbers outlive its sessions.

--- a/lilacwalk/edge/duplicate_detector.py
+++ b/lilacwalk/edge/duplicate_detector.py
@@ -1,8 +1,8 @@
 """Detects duplicate requests of a device that lost its session, without idempotency keys.
 
 Within one session, two requests with different numbers are always two requests. In different
-sessions of a device, requests with equal request class, tenant, subject and body within the window
-are duplicates; if the device's numbers outlive its sessions (`has_stable_numbers`), the number is
+sessions of a device, requests with equal request class, tenant, subject, idempotency key and body
+within the window are duplicates; if the device's numbers outlive its sessions (`has_stable_numbers`), the number is
 compared in place of the body. Requests are duplicates only while the earlier one is in flight or
 its answer has not been acknowledged: a device that sends the request again after it acknowledged
 the answer intends a second one. A false positive loses an intended request; a false negative
@@ -61,9 +61,8 @@
         """
         digest = xxhash.xxh3_128(seed=self.seed)
         parts = [device, ask.group.encode(), ask.customer.encode(), ask.subject.encode()]
-        for part in (
-            [*parts, str(ask.number).encode()] if has_stable_numbers else [*parts, ask.body]
-        ):
+        parts += [str(ask.number).encode()] if has_stable_numbers else [ask.key.encode(), ask.body]
+        for part in parts:
             digest.update(len(part).to_bytes(4, "big"))
             digest.update(part)
         return digest.intdigest()
--- a/tests/edge/test_machines.py
+++ b/tests/edge/test_machines.py
@@ -225,9 +225,16 @@
 
 
 @pytest.mark.parametrize(
-    "change", [dict(group="swap"), dict(body=b"pay 6"), dict(subject="x"), dict(customer="c")]
+    "change",
+    [
+        dict(group="swap"),
+        dict(body=b"pay 6"),
+        dict(subject="x"),
+        dict(customer="c"),
+        dict(key="pay 5 again"),
+    ],
 )
-def test_a_different_class_body_subject_or_tenant_is_a_different_request(harness, change):
+def test_a_different_class_body_subject_tenant_or_key_is_a_different_request(harness, change):
     harness.disconnect(connect_and_ask(harness))
     harness.send(
         harness.hello(), ask(**({"number": 1, "group": "move", "body": b"pay 5"} | change))
@@ -235,6 +242,15 @@
     assert len(harness.submitted) == 2
 
 
+# Guards against a request that is never executed, since it was taken for another one with a key of
+# its own and an equal body (the second review's report).
+def test_requests_with_keys_of_their_own_are_not_joined_and_one_with_the_same_key_is(harness):
+    for key in ("update-1", "update-2", "update-1"):
+        connection = harness.hello()
+        harness.send(connection, ask(1, "swap", b"one more room", key=key)).disconnect(connection)
+    assert [payload.frame.key for _, _, payload in harness.submitted] == ["update-1", "update-2"]
+
+
 def test_an_equal_request_from_another_device_in_the_same_session_or_after_a_minute_is_executed(
     harness,
 ):
