A reload that adds the edge beside a running store starts it

Seen: connections to an edge that a reload had added were accepted by the system and never served.

Cause: beside a store, the edge's thread is started by the event that the store has been read, which was over when the block came.

Change: whether the store has been read is remembered, and the edge is then started at once.

--- a/lilacwalk/server/subsystems.py
+++ b/lilacwalk/server/subsystems.py
@@ -61,6 +61,7 @@
         self.failover_sites: tuple[str, ...] = ()  # failed sites whose services this node announces
         self.own_service_mode = ALL_NODES
         self._devices_started = False
+        self._is_store_read = False  # whether the store has been read, or cannot be opened
 
     def apply(self, config: OperatorConfig | None) -> None:
         """Applies the operator's file, at start and after a reload.
@@ -193,14 +194,19 @@
         or that starts later.
         """
         event_loop = self._event_loop
+        self._is_store_read = True
         event_loop.requests.effect_gate.restore(recovered_effects)
         controller = event_loop.controller
         if controller is not None and event_loop.now < controller.started_at + SECOND:
             self.restore_learned_state(controller)
         if self.devices is not None and not self._devices_started:
-            self._devices_started = True
-            self.devices.edge.recover_sessions(self.persistence.recovered_sessions)
-            self.devices.start()
+            self._recover_and_start_devices()
+
+    def _recover_and_start_devices(self) -> None:
+        """Starts the frontend for devices with the sessions that the store contained."""
+        self._devices_started = True
+        self.devices.edge.recover_sessions(self.persistence.recovered_sessions)
+        self.devices.start()
 
     # Edge
 
@@ -241,6 +247,8 @@
         if self.persistence is None:
             self._devices_started = True
             self.devices.start()
+        elif self._is_store_read:  # a reload has added the block
+            self._recover_and_start_devices()
         log.info(
             "event=edge_started listen=%s:%d sessions=%d",
             *self.devices.edge.address,
--- a/tests/edge/conftest.py
+++ b/tests/edge/conftest.py
@@ -143,7 +143,11 @@
 
 
 class EdgeSite:
-    """An app server in this process with its edge and a stand-in for the executor."""
+    """An app server in this process with its edge and a stand-in for the executor.
+
+    If `blocks_before` is given, the server starts with these blocks of the operator's file and
+    opens its store, and a reload then adds the edge.
+    """
 
     def __init__(
         self,
@@ -152,6 +156,7 @@
         work=lambda group, body: 0.0,
         result=lambda group, body: b"<" + body + b">",
         cores=2,
+        blocks_before=None,
         **given,
     ):
         self.path = tmp_path / "secrets"
@@ -159,17 +164,24 @@
         self.secret = random_secrets.token_bytes(32)
         self.path.write_text(self.secret.hex() + "\n")
         self.executor = StandInExecutor(cores, work, result)
-        text = f"edge {{\n listen 127.0.0.1:0\n secrets {self.path}\n customer devices\n{block}}}\n"
+        edge = f"edge {{\n listen 127.0.0.1:0\n secrets {self.path}\n customer devices\n{block}}}\n"
         self.event_loop, parts = build(
             make_process_config(self.executor.address, **given), EventQueue()
         )
-        self.config = parse_operator_file(text, "test")
-        self.event_loop.subsystems.apply(self.config)
+        subsystems = self.event_loop.subsystems
+        self.config = parse_operator_file((blocks_before or "") + edge, "test")
+        subsystems.apply(
+            self.config if blocks_before is None else parse_operator_file(blocks_before, "test")
+        )
         self.thread = threading.Thread(target=self.event_loop.run, daemon=True)
         self.parts, self.devices = parts, []
         for each in [self.thread, *parts]:
             each.start()
-        self.edge = self.event_loop.subsystems.devices.edge
+        if blocks_before is not None:
+            while not self.call_in_event_loop(lambda _: subsystems.persistence.store):
+                pass
+            self.call_in_event_loop(lambda _: subsystems.apply(self.config))
+        self.edge = subsystems.devices.edge
         self.address = self.edge.address
         while not self.call_in_event_loop(lambda event_loop: event_loop.executor.is_ready):
             pass
--- a/tests/edge/test_device_link.py
+++ b/tests/edge/test_device_link.py
@@ -495,3 +495,10 @@
     asked_at = time.monotonic()
     assert device.outcome(device.ask("look", b"x", 1_500), TIMEOUT_SECONDS).word == 0
     assert time.monotonic() - asked_at < 1.5
+
+
+# Guards against a listener that nobody serves after a reload (issue 45, and the second review).
+def test_a_reload_that_adds_the_edge_beside_a_store_starts_it(make_site, tmp_path):
+    site = make_site(blocks_before=f"store {{\n directory {tmp_path}/store\n}}\n")
+    device = site.device()
+    assert device.outcome(device.ask("look", b"x"), TIMEOUT_SECONDS).body == b"<x>"
