A recovered duplicate of a request with an effect is terminated, not denied

Cause: the stored row of a duplicate names no execution, so none was found for it, and what has none is denied.

Change: a recovered duplicate that is not idempotent is answered terminated, and its session is stored when it joins.

--- a/lilacwalk/edge/device_service.py
+++ b/lilacwalk/edge/device_service.py
@@ -468,6 +468,7 @@
         if (open_request := first.open.get(earlier.number)) is not None:
             open_request.followers.append((session, ask.number))
             session.open_request(ask.number, effect, now)
+            self._mark_unpersisted(session)
         elif (order := first.by_number.get(earlier.number)) is not None:
             before = first.unacknowledged[order].answer
             session.open_request(ask.number, effect, now)
--- a/lilacwalk/edge/session.py
+++ b/lilacwalk/edge/session.py
@@ -16,6 +16,7 @@
 from lilacwalk.overload.model import Effect
 
 ANSWER_OVERHEAD_BYTES = 200  # memory of an answer besides its body
+NO_EXECUTION_KEY = ("", "", "")  # of a duplicate, which gets the answer of another request
 
 
 class RequestStatus(Enum):
@@ -49,10 +50,15 @@
     effect: Effect
     received_at: int
     # Request class, tenant and idempotency key, which identify the execution.
-    execution_key: tuple[str, str, str] = ("", "", "")
+    execution_key: tuple[str, str, str] = NO_EXECUTION_KEY
     # Sessions and request numbers of duplicates, which get the same answer.
     followers: list[tuple[Session, int]] = field(default_factory=list)
 
+    @property
+    def is_duplicate(self) -> bool:
+        """Whether the request has no execution of its own."""
+        return self.execution_key == NO_EXECUTION_KEY
+
 
 class Session:
     """Requests and answers of one session of a device."""
@@ -116,7 +122,7 @@
         number: int,
         effect: Effect,
         now: int,
-        execution_key: tuple[str, str, str] = ("", "", ""),
+        execution_key: tuple[str, str, str] = NO_EXECUTION_KEY,
     ) -> OpenRequest:
         """Adds a request in flight."""
         request = self.open[number] = OpenRequest(effect, now, execution_key)
--- a/lilacwalk/frontends/devices.py
+++ b/lilacwalk/frontends/devices.py
@@ -193,14 +193,15 @@
         """Responds to a request that was in flight when the previous process ended.
 
         Sends the result if it is known. Otherwise, a request that is not idempotent and may have
-        been executed is answered as failed; any other is rejected, and may be retried.
+        been executed is answered as failed; any other is rejected, and may be retried. A duplicate
+        may have been executed: the request that it waited for is not known any more.
         """
         began, result = self.host.find_earlier_execution(
             *opened.execution_key, self._request_id(session, number)
         )
         if result is not None:
             self.edge.send_answer(session, number, COMPLETED, result, 0)
-        elif began and opened.effect is not Effect.IDEMPOTENT:
+        elif (began or opened.is_duplicate) and opened.effect is not Effect.IDEMPOTENT:
             self.edge.send_answer(session, number, TERMINATED, b"", 0)
         else:
             self.edge.send_answer(session, number, DENIED, b"", RETRY_AFTER)
--- a/tests/edge/test_device_link.py
+++ b/tests/edge/test_device_link.py
@@ -13,16 +13,22 @@
 import threading
 import time
 from datetime import UTC, datetime, timedelta
+from types import SimpleNamespace
 
 import pytest
 from click.testing import CliRunner
 
 from lilacwalk.commands import lilacwalk
-from lilacwalk.edge import frames
+from lilacwalk.edge import frames, session_codec
+from lilacwalk.edge.device_service import ActionType, DeviceService
+from lilacwalk.edge.duplicate_detector import DENIED, TERMINATED
 from lilacwalk.edge.frames import Hello, Refused
+from lilacwalk.edge.link import Link
+from lilacwalk.edge.session import Session
 from lilacwalk.testing.lossy_proxy import LinkConditions, Proxy
 from lilacwalk.testing.proxy_client import ProxyClient
 from lilacwalk.testing.site_settings import SETTINGS
+from tests.edge.conftest import REQUEST_CLASSES, START
 
 TIMEOUT_SECONDS = 10.0
 MAX_OPEN = 4  # open requests that the controller admits before it has measured execution times
@@ -502,3 +508,35 @@
     site = make_site(blocks_before=f"store {{\n directory {tmp_path}/store\n}}\n")
     device = site.device()
     assert device.outcome(device.ask("look", b"x"), TIMEOUT_SECONDS).body == b"<x>"
+
+
+# Guards against a second execution after a restart: a duplicate that waited for the first request
+# was recovered as a request that had never been executed, and denied (review/9).
+def test_a_recovered_duplicate_of_a_request_with_an_effect_is_terminated_and_not_denied(make_site):
+    site = make_site()
+    sessions = {}
+    for name, group in ((b"a", "move"), (b"b", "look")):
+        first, second = (
+            Session(name + suffix, name, False, 16, Link(), START) for suffix in (b"1", b"2")
+        )
+        effect = REQUEST_CLASSES[group].effect
+        first.open_request(1, effect, START, (group, "devices", ""))
+        second.open_request(1, effect, START)  # joined to the first one
+        sessions |= {each.ident: session_codec.encode_session(each) for each in (first, second)}
+    restarted = DeviceService(site.edge.config, REQUEST_CLASSES, site.edge.service.tokens, 2, START)
+    restarted.recover_sessions(sessions, START)
+    answers = {}
+    frontend = site.event_loop.subsystems.devices
+    host = SimpleNamespace(find_earlier_execution=lambda name, *_: (name == "move", None))
+    edge = SimpleNamespace(
+        send_answer=lambda session, _number, word, *_: answers.update({session.ident: word})
+    )
+    for action in restarted.take_actions():
+        if action.type is ActionType.RECOVER:
+            type(frontend).request_recovered(
+                SimpleNamespace(host=host, edge=edge, _request_id=frontend._request_id),
+                action.session,
+                action.number,
+                action.payload,
+            )
+    assert answers == {b"a1": TERMINATED, b"a2": TERMINATED, b"b1": DENIED, b"b2": DENIED}
