A failed attempt to open the store releases its directory

Seen (test): after one disk error, the store is refused until the next start.

Cause: the lock was kept, so that the next attempt found the directory in use by another process, which counts as permanent.

Change: whatever ends an attempt after the lock was taken closes the directory.

--- a/lilacwalk/server/integrations/store_opener.py
+++ b/lilacwalk/server/integrations/store_opener.py
@@ -96,9 +96,16 @@
                 return
 
     def _open(self) -> Store:
-        max_bytes = self._config.max_bytes
         directory = Directory(self._config.directory)
         directory.claim(self._node)
+        try:
+            return self._open_claimed(directory)
+        except BaseException:
+            directory.close()  # otherwise the next attempt finds the directory in use
+            raise
+
+    def _open_claimed(self, directory: Directory) -> Store:
+        max_bytes = self._config.max_bytes
         return Store(
             directory,
             Durability(self._config.durability),
--- a/lilacwalk/storage/disk.py
+++ b/lilacwalk/storage/disk.py
@@ -100,12 +100,19 @@
         except BlockingIOError as error:
             os.close(descriptor)
             raise OwnershipError(self.path, "is in use by another process") from error
+        self._lock_descriptor = descriptor
+        try:
+            self._claim_locked(node)
+        except BaseException:
+            self.close()
+            raise
+
+    def _claim_locked(self, node: str) -> None:
+        """Records `node` as the owner, unless the directory may not be used."""
         names = [name for name in self.list_files() if name != LOCK_FILE]
         owner_bytes = self.read(OWNER_FILE) if OWNER_FILE in names else None
         if reason := refusal_reason(owner_bytes, node, names):
-            os.close(descriptor)
             raise OwnershipError(self.path, reason)
-        self._lock_descriptor = descriptor
         if owner_bytes is None:
             self.create(OWNER_FILE + PARTIAL_SUFFIX, encode_owner(node))
             self.publish(OWNER_FILE)
--- a/tests/storage/test_ownership.py
+++ b/tests/storage/test_ownership.py
@@ -1,5 +1,11 @@
 """A store directory that belongs to another node or another process."""
 
+import pytest
+
+from lilacwalk.event_queue import EventQueue
+from lilacwalk.server.integrations import store_opener
+from lilacwalk.storage.config import StorageConfig
+from lilacwalk.storage.disk import Directory
 from tests.storage.conftest import run_storage_command
 
 
@@ -21,3 +27,36 @@
     )
     assert result.returncode == 2
     assert "is in use by another process" in result.stderr
+
+
+# Guards against a store that is refused until the next start after one disk error: the lock on its
+# directory was not released, so that the next attempt found it in use (the second review's report).
+@pytest.mark.parametrize("failing", ["Store"])
+def test_a_store_whose_opening_failed_once_is_opened_by_the_next_attempt(
+    tmp_path, monkeypatch, failing
+):
+    failures = [OSError(5, "Input/output error")]
+    target = store_opener if failing == "Store" else Directory
+    original = getattr(target, failing)
+
+    def fail_once(*arguments, **keywords):
+        if failures:
+            raise failures.pop()
+        return original(*arguments, **keywords)
+
+    monkeypatch.setattr(target, failing, fail_once)
+    monkeypatch.setattr(store_opener, "RETRY_DELAY", 0.0)
+    event_queue, reports = EventQueue(), []
+    opener = store_opener.StoreOpener(
+        StorageConfig(directory=str(tmp_path / "store")),
+        "n0",
+        event_queue,
+        on_opened=lambda store, _rows: (reports.append("opened"), store.close(1.0)),
+        on_failed=lambda reason, is_permanent: reports.append((reason, is_permanent)),
+        on_persisted=lambda *_: None,
+        on_mode_change=lambda *_: None,
+    )
+    opener.start()
+    for _ in range(2):
+        event_queue.get(timeout=10.0)()
+    assert reports == [(f"{tmp_path}/store: Input/output error", False), "opened"]
