A partial owner file of the store is replaced and no longer refused

Seen (test): a crash between making and publishing the owner file leaves a store that is refused at every start: 'holds owner.new, which is not a store file'.

Change: the partial owner file counts as the store's own, and is replaced by the next claim.

--- a/lilacwalk/storage/disk.py
+++ b/lilacwalk/storage/disk.py
@@ -109,7 +109,8 @@
 
     def _claim_locked(self, node: str) -> None:
         """Records `node` as the owner, unless the directory may not be used."""
-        names = [name for name in self.list_files() if name != LOCK_FILE]
+        own_names = (LOCK_FILE, OWNER_FILE + PARTIAL_SUFFIX)  # a crash may leave a partial file
+        names = [name for name in self.list_files() if name not in own_names]
         owner_bytes = self.read(OWNER_FILE) if OWNER_FILE in names else None
         if reason := refusal_reason(owner_bytes, node, names):
             raise OwnershipError(self.path, reason)
--- a/tests/storage/test_ownership.py
+++ b/tests/storage/test_ownership.py
@@ -31,7 +31,7 @@
 
 # Guards against a store that is refused until the next start after one disk error: the lock on its
 # directory was not released, so that the next attempt found it in use (the second review's report).
-@pytest.mark.parametrize("failing", ["Store"])
+@pytest.mark.parametrize("failing", ["Store", "publish"])
 def test_a_store_whose_opening_failed_once_is_opened_by_the_next_attempt(
     tmp_path, monkeypatch, failing
 ):
@@ -60,3 +60,14 @@
     for _ in range(2):
         event_queue.get(timeout=10.0)()
     assert reports == [(f"{tmp_path}/store: Input/output error", False), "opened"]
+
+
+# Guards against a store that is refused at every start, since a crash left its owner file half made
+# (issue 45).
+@pytest.mark.parametrize("content", ["", '{"node": "n', '{"node": "n0", "format": 2}'])
+def test_a_partial_owner_file_is_replaced(tmp_path, content):
+    (tmp_path / "owner.new").write_text(content)
+    directory = Directory(str(tmp_path))
+    directory.claim("n0")
+    directory.close()
+    assert directory.list_files() == ["lock", "owner"]
