--- a/lilacwalk/commands/device.py
+++ b/lilacwalk/commands/device.py
@@ -123,7 +123,7 @@
 @click.option("--days", default=365, show_default=True, help="days until the token expires")
 def token(secrets: str, name: str, days: int) -> None:
     """Make a token for device NAME, signed with the first secret in the file SECRETS."""
-    from lilacwalk.edge.host import EdgeError, read_secrets
+    from lilacwalk.edge.credentials import EdgeError, read_secrets
     from lilacwalk.edge.tokens import DEVICE, Tokens
 
     try:
--- a/lilacwalk/edge/tokens.py
+++ b/lilacwalk/edge/tokens.py
@@ -11,7 +11,9 @@
 from dataclasses import dataclass
 
 MAC_BYTES = 16  # 128 bits cannot be guessed before a token expires
-MIN_SECRET_BYTES = 32  # a shorter secret is likely a password, and `host.read_secrets` rejects it
+MIN_SECRET_BYTES = (
+    32  # a shorter secret is likely a password, and `credentials.read_secrets` rejects it
+)
 DEVICE, SESSION = b"d", b"s"  # kinds of tokens
 
 
--- a/lilacwalk/frontends/devices.py
+++ b/lilacwalk/frontends/devices.py
@@ -18,7 +18,7 @@
 from lilacwalk.edge.config import EdgeConfig
 from lilacwalk.edge.device_service import DeviceRequest, DeviceRequestClass
 from lilacwalk.edge.duplicate_detector import COMPLETED, DENIED, TERMINATED
-from lilacwalk.edge.host import EdgeError, EdgeHost
+from lilacwalk.edge.host import EdgeHost
 from lilacwalk.edge.session import OpenRequest, Session
 from lilacwalk.event_queue import EventQueue
 from lilacwalk.frontends.interface import RequestHandler
@@ -271,6 +271,3 @@
     def end(self, timeout: float) -> None:
         """Stops the sessions' thread, and waits for its end for at most `timeout` seconds."""
         self.edge.end(timeout)
-
-
-__all__ = ["DeviceFrontend", "EdgeError"]
--- a/lilacwalk/operator/check.py
+++ b/lilacwalk/operator/check.py
@@ -81,7 +81,7 @@
     if config is None:
         print("edge=off")
         return EXIT_USABLE
-    from lilacwalk.edge.host import EdgeError, create_tls_context, read_secrets
+    from lilacwalk.edge.credentials import EdgeError, create_tls_context, read_secrets
 
     host, port = config.listen
     print(
--- a/lilacwalk/server/subsystem_factories.py
+++ b/lilacwalk/server/subsystem_factories.py
@@ -105,8 +105,9 @@
     is None, sessions are not persisted.
     """
     try:
+        from lilacwalk.edge.credentials import EdgeError
         from lilacwalk.edge.device_service import DeviceRequestClass
-        from lilacwalk.frontends.devices import DeviceFrontend, EdgeError
+        from lilacwalk.frontends.devices import DeviceFrontend
     except ImportError as error:
         hint = ": install the packages in requirements-edge.txt"
         raise SubsystemConfigError("edge", error, hint) from error
--- a/lilacwalk/server/subsystems.py
+++ b/lilacwalk/server/subsystems.py
@@ -226,7 +226,7 @@
             self._start_devices(config)
 
     def _reload_devices(self, config: EdgeConfig) -> None:
-        from lilacwalk.edge.host import EdgeError
+        from lilacwalk.edge.credentials import EdgeError
 
         try:
             self.devices.reload(config)
