The tests of hostile input wait for queued items and not by polling

No sleep serves as synchronisation in tests; the items that readers and listener queue are counted, and the end of a client is awaited on its socket.

--- a/tests/server/test_hostile_input.py
+++ b/tests/server/test_hostile_input.py
@@ -1,12 +1,11 @@
 """What clients send that flood the server delays neither the platform nor other clients."""
 
-import time
+import select
 
 import pytest
 
-from lilacwalk.event_queue import EventQueue
 from lilacwalk.server import startup
-from tests.conftest import PEER_TIMEOUT_SECONDS, ProxyClient
+from tests.conftest import PEER_TIMEOUT_SECONDS, ObservedEventQueue, ProxyClient
 
 FLOODING_CLIENTS = 30
 
@@ -14,18 +13,17 @@
 @pytest.fixture
 def event_loop(make_harness):
     """An event loop that the test runs step by step; its listener accepts connections."""
-    event_loop, components = startup.build(make_harness().process_config, EventQueue())
+    event_loop, components = startup.build(make_harness().process_config, ObservedEventQueue())
     event_loop.listener.start()
     yield event_loop
     for each in components:
         each.close()
 
 
-def wait_until(condition):
-    deadline = time.monotonic() + PEER_TIMEOUT_SECONDS
-    while not condition():
-        assert time.monotonic() < deadline
-        time.sleep(0.001)
+def wait_for_items(event_loop, count):
+    """Waits until this number of items has been queued since the last call."""
+    for _ in range(count):
+        assert event_loop.event_queue.added_items.acquire(timeout=PEER_TIMEOUT_SECONDS)
 
 
 def connection_of(event_loop, client):
@@ -42,13 +40,11 @@
         client.sock.sendall(
             b"".join(client.encode_submit(tag, class_name) for tag in range(1, 200))
         )
-    # Two items for each client: its connection, and its first chunk.
-    wait_until(lambda: event_loop.event_queue.qsize() >= 2 * FLOODING_CLIENTS)
-    for _ in range(2):
-        event_loop.run_iteration()
+    # Three items for each client: its connection and two chunks; the others are not read yet.
+    wait_for_items(event_loop, 3 * FLOODING_CLIENTS)
     proxy = ProxyClient(event_loop.listener.address)
     proxy.submit(1)
-    wait_until(lambda: event_loop.event_queue.qsize() >= 2)
+    wait_for_items(event_loop, 2)
     count_before = sum(each.message_count for each in event_loop.proxy_frontend.connections)
     iterations = 0
     while (connection := connection_of(event_loop, proxy)) is None or not connection.message_count:
@@ -75,7 +71,9 @@
         event_loop.run_iteration()
     assert client.receive_response()[:2] == (1, "error")
     client.sock.close()
-    wait_until(lambda: connection.is_closed_by_peer)
+    hang_up = select.poll()
+    hang_up.register(connection.sock, select.POLLRDHUP)
+    assert hang_up.poll(PEER_TIMEOUT_SECONDS * 1000)
     count = connection.message_count
     while connection in event_loop.proxy_frontend.connections:
         event_loop.run_iteration()
